--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,265 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/follower"
+	"bamboowood/internal/intake"
+	"bamboowood/internal/job"
+	"bamboowood/internal/leader"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/logline"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/site"
+	"bamboowood/internal/supervisor"
+	"bamboowood/platform"
+)
+
+// Processes on the users' platform.
+const (
+	// metricsPort is the port of the metrics address; deploy/system.toml names it.
+	metricsPort = 9464
+	// heapShare of a process's memory is the soft limit of Go's heap; stacks and
+	// bodies that the kernel holds need the rest.
+	heapShare = 0.7
+	// garbagePercent trades memory, of which there is plenty, for processor time.
+	garbagePercent = 400
+	// holdShare of the longest lease is what agents get: clocks may differ by 2%.
+	holdShare = 0.95
+	// settingsInterval is how often the settings file is looked at; it may change
+	// without a signal.
+	settingsInterval = 2 * time.Second
+	// leaveTime is how long an entry that stops still takes connections: the
+	// balancer notices within two probes, a second apart.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace period when requests in flight are cut.
+	stopMargin = 700 * time.Millisecond
+)
+
+// PlatformNode is a process on the users' platform.
+type PlatformNode struct {
+	node   platform.Node
+	path   string
+	logs   *logline.Handler
+	logger *log.Logger
+	// stopping is set from SIGTERM on.
+	stopping atomic.Bool
+}
+
+// NewPlatformNode reads the settings file that the platform names.
+func NewPlatformNode(role string) (*PlatformNode, error) {
+	path := os.Getenv(platform.SettingsVariable)
+	node, err := platform.LoadNode(path)
+	if err != nil {
+		return nil, err
+	}
+	logs := logline.New(os.Stdout)
+	log.SetHandler(logs)
+	logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
+	logger.WithFields(log.Fields{
+		"role": role, "node": node.Name, "zone": node.Zone, "ip": node.IP, "pid": os.Getpid(),
+	}).Info("process starts")
+	return &PlatformNode{node: node, path: path, logs: logs, logger: logger}, nil
+}
+
+// Close writes the last log lines.
+func (n *PlatformNode) Close() {
+	n.logger.Info("process stops")
+	n.logs.Close()
+}
+
+func (n *PlatformNode) peerAddress() string {
+	return net.JoinHostPort(n.node.IP, fmt.Sprint(n.node.PeerPortFirst))
+}
+
+// hold is the lease that agents get.
+func (n *PlatformNode) hold() time.Duration {
+	return time.Duration(holdShare * float64(n.node.Bounds.Hold))
+}
+
+// RunEntry runs an entry until SIGTERM, and then until what it has begun is done.
+func (n *PlatformNode) RunEntry(ctx context.Context) error {
+	tables := platform.NewStore(n.node.StoreAddress)
+	book := ledger.New(tables)
+	sites := &site.Watcher{
+		Store: tables, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+	}
+	lead := leader.New(leader.Options{
+		Ledger: book, Logger: n.logger, Address: n.peerAddress(), Process: uuid.NewString(),
+		Site: sites.State, Now: boottime.Now, Hold: n.hold(),
+		Planner: planner.Options{
+			EarlyStart: n.node.Bounds.Early, KeepEnded: n.node.Bounds.Keep,
+			RemoteFactor: n.node.Bounds.RemoteFactor, StopTime: n.node.Bounds.Stop,
+		},
+	})
+	in := &intake.Entry{
+		Ledger: book, Leader: &leader.Directory{Leader: lead}, Logger: n.logger, SiteState: sites.State,
+	}
+	peers, err := net.Listen("tcp", n.peerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	ready := func() bool { return !n.stopping.Load() && sites.State().Config != nil }
+	var g run.Group
+	background := n.outlive(ctx)
+	addContext(&g, sites.Run, nil)
+	addContext(&g, func(ctx context.Context) error { return lead.ServeQueries(ctx, peers) }, nil)
+	if err := n.addHTTP(&g, n.node.FrontAddress, n.closing(platform.FrontHandler(in))); err != nil {
+		return err
+	}
+	if err := n.addHTTP(&g, n.node.ReadyAddress, platform.ReadyHandler(ready)); err != nil {
+		return err
+	}
+	if err := n.addMetrics(&g); err != nil {
+		return err
+	}
+	n.addSettingsWatch(&g)
+	// Leadership is given up at once; requests in flight go on.
+	addContext(&g, func(run context.Context) error {
+		run, cancel := context.WithCancel(run)
+		defer cancel()
+		stop := context.AfterFunc(ctx, cancel)
+		defer stop()
+		_ = lead.Run(run)
+		<-background.Done()
+		return nil
+	}, nil)
+	addParent(&g, background)
+	return g.Run()
+}
+
+// outlive returns a context that ends leaveTime after ctx.
+func (n *PlatformNode) outlive(ctx context.Context) context.Context {
+	out, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() {
+		n.stopping.Store(true)
+		n.logger.Info("process leaves")
+		time.AfterFunc(leaveTime, cancel)
+	})
+	return out
+}
+
+// closing makes callers reconnect elsewhere while the process stops.
+func (n *PlatformNode) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *PlatformNode) addHTTP(g *run.Group, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	addServer(g, ln, server, n.node.Bounds.Grace-leaveTime-stopMargin, nil)
+	return nil
+}
+
+func (n *PlatformNode) addMetrics(g *run.Group) error {
+	handler := http.NewServeMux()
+	handler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return n.addHTTP(g, net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), handler)
+}
+
+// addSettingsWatch reads the settings file on SIGHUP, and from time to time.
+func (n *PlatformNode) addSettingsWatch(g *run.Group) {
+	addContext(g, func(ctx context.Context) error {
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+		defer signal.Stop(hup)
+		ticker := time.NewTicker(settingsInterval)
+		defer ticker.Stop()
+		current, err := os.ReadFile(n.path)
+		if err != nil {
+			n.logger.WithError(err).Warn("settings cannot be read")
+		}
+		for {
+			signalled := false
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-hup:
+				signalled = true
+			case <-ticker.C:
+			}
+			data, err := os.ReadFile(n.path)
+			if err != nil {
+				n.logger.WithError(err).Warn("settings cannot be read")
+				continue
+			}
+			if changed := string(data) != string(current); changed || signalled {
+				n.logger.WithFields(log.Fields{"signalled": signalled, "changed": changed}).Info("settings reloaded")
+			}
+			current = data
+		}
+	}, nil)
+}
+
+// RunAgent runs an agent until SIGTERM.
+func (n *PlatformNode) RunAgent(ctx context.Context) error {
+	book := ledger.New(platform.NewStore(n.node.StoreAddress))
+	super := supervisor.New(supervisor.Options{
+		Runner: platform.NewRunner(n.node.RunnerAddress), Logger: n.logger, Now: boottime.Now,
+		MaxHold: n.hold(), FirstToken: time.Now().UnixMilli(),
+	})
+	follow := follower.New(follower.Options{
+		Supervisor: super, Ledger: book, Logger: n.logger,
+		Name: n.node.IP, Address: n.peerAddress(), Now: boottime.Now,
+	})
+	peers, err := net.Listen("tcp", n.peerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	var g run.Group
+	reports := platform.ReportHandler(&runnerReports{super: super, logger: n.logger})
+	if err := n.addHTTP(&g, n.node.ReportAddress, reports); err != nil {
+		return err
+	}
+	if err := n.addMetrics(&g); err != nil {
+		return err
+	}
+	n.addSettingsWatch(&g)
+	addContext(&g, super.Run, nil)
+	addContext(&g, follow.Register, nil)
+	addContext(&g, func(ctx context.Context) error { return follow.Serve(ctx, peers) }, nil)
+	addParent(&g, ctx)
+	return g.Run()
+}
+
+// runnerReports passes the runner's reports on.
+type runnerReports struct {
+	super  *supervisor.Supervisor
+	logger log.Interface
+}
+
+// RunnerReported implements platform.Reports.
+func (r *runnerReports) RunnerReported(x job.Runner) { r.super.RunnerReported(x) }
+
+// RunnerLeft implements platform.Reports.
+func (r *runnerReports) RunnerLeft(id string, born int64) { r.super.RunnerLeft(id, born) }
+
+// ReportUnreadable implements platform.Reports.
+func (r *runnerReports) ReportUnreadable(err error) {
+	r.logger.WithError(err).Warn("report of a runner left out")
+}
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -17,12 +17,13 @@
 
 // cli is the command line.
 type cli struct {
-	Entry   entryCmd   `cmd:"" help:"Run an entry: callers' and operators' HTTP, routing, scheduling."`
-	Agent   agentCmd   `cmd:"" help:"Run the agent beside one VM's upstream."`
-	Standin standinCmd `cmd:"" help:"Run stand-ins of the platform's services, for tests."`
-	Dev     devCmd     `cmd:"" help:"Run everything in one process on loopback."`
-	Check   checkCmd   `cmd:"" help:"Check settings files."`
-	Example exampleCmd `cmd:"" help:"Write the example settings of a deployment."`
+	Entry    entryCmd    `cmd:"" help:"Run an entry: callers' and operators' HTTP, routing, scheduling."`
+	Agent    agentCmd    `cmd:"" help:"Run the agent beside one VM's upstream."`
+	Platform platformCmd `cmd:"" help:"Run on the users' platform."`
+	Standin  standinCmd  `cmd:"" help:"Run stand-ins of the platform's services, for tests."`
+	Dev      devCmd      `cmd:"" help:"Run everything in one process on loopback."`
+	Check    checkCmd    `cmd:"" help:"Check settings files."`
+	Example  exampleCmd  `cmd:"" help:"Write the example settings of a deployment."`
 }
 
 type entryCmd struct {
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,178 @@
+// Package intake takes what callers ask of an entry: it accepts jobs, cancels
+// them and tells their state.
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/site"
+	"bamboowood/internal/store"
+)
+
+// Errors of an Intake. Any other error leaves open whether the call had its
+// effect.
+var (
+	// ErrUnknownJob: no such job was accepted.
+	ErrUnknownJob = errors.New("no such job")
+	// ErrInvalid: the request makes no sense and had no effect.
+	ErrInvalid = errors.New("invalid job")
+)
+
+// RefusedError says that a request had no effect and never will.
+type RefusedError struct {
+	Reason Reason
+	// RetryAfter is when another try is worthwhile; 0 if it is not known.
+	RetryAfter time.Duration
+}
+
+// Error implements the error interface.
+func (e *RefusedError) Error() string { return "refused, not run: " + string(e.Reason) }
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// StoreUnavailable: the job cannot be stored now.
+	StoreUnavailable Reason = "store-unavailable"
+	// LeaderUnknown: nobody who knows the answer can be asked.
+	LeaderUnknown Reason = "leader-unknown"
+)
+
+// Intake is what callers may ask.
+type Intake interface {
+	// Site returns the operators' will.
+	Site() *site.State
+	Submit(ctx context.Context, j *job.Job) error
+	Cancel(ctx context.Context, id string) error
+	Status(ctx context.Context, id string) (job.State, error)
+	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+// Leader is how the entry that leads is asked. leading is false if it could not
+// be asked.
+type Leader interface {
+	Status(ctx context.Context, id string) (state job.State, known, leading bool)
+	Waiting(ctx context.Context, queue string) (n int, leading bool)
+}
+
+const (
+	// submitTime bounds a submission whose caller names no deadline.
+	submitTime = 2500 * time.Millisecond
+	// acceptRetryPause follows a try to store a job without an answer.
+	acceptRetryPause = 50 * time.Millisecond
+	// outageRetryAfter is told to callers while the store is away. Its outages
+	// last seconds; a second is the shortest that the header can say.
+	outageRetryAfter = time.Second
+)
+
+// Entry implements Intake on the ledger and the leader.
+type Entry struct {
+	Ledger    *ledger.Ledger
+	Leader    Leader
+	Logger    log.Interface
+	SiteState func() *site.State
+}
+
+var _ Intake = (*Entry)(nil)
+
+// Site implements Intake.
+func (e *Entry) Site() *site.State { return e.SiteState() }
+
+// Submit implements Intake. A job counts as refused only if no try to store it
+// can have had an effect.
+func (e *Entry) Submit(ctx context.Context, j *job.Job) error {
+	if err := j.Validate(); err != nil {
+		count("invalid")
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	began := time.Now()
+	j.AcceptedAt = began
+	logger := e.Logger.WithFields(log.Fields{"job": j.ID, "queue": j.Queue.Name})
+	doubtful := false
+	for {
+		err := e.Ledger.Accept(ctx, j)
+		if err == nil {
+			count("accepted")
+			logger.WithField("took_ms", time.Since(began).Milliseconds()).Info("job accepted")
+			return nil
+		}
+		refused := errors.Is(err, store.ErrRefused)
+		if refused && !doubtful {
+			count(StoreUnavailable)
+			logger.WithError(err).Warn("job refused")
+			return &RefusedError{Reason: StoreUnavailable, RetryAfter: outageRetryAfter}
+		}
+		doubtful = doubtful || !refused
+		logger.WithError(err).Warn("job may have been stored")
+		select {
+		case <-ctx.Done():
+			count("doubtful")
+			return fmt.Errorf("job may have been accepted: %w", err)
+		case <-time.After(acceptRetryPause):
+		}
+	}
+}
+
+// Cancel implements Intake.
+func (e *Entry) Cancel(ctx context.Context, id string) error {
+	if _, err := e.Status(ctx, id); err != nil {
+		return err
+	}
+	for {
+		err := e.Ledger.Cancel(ctx, id)
+		if err == nil {
+			count("cancelled")
+			e.Logger.WithField("job", id).Info("job cancelled")
+			return nil
+		}
+		e.Logger.WithError(err).WithField("job", id).Warn("cancel not stored")
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("job may have been cancelled: %w", err)
+		case <-time.After(acceptRetryPause):
+		}
+	}
+}
+
+// Status implements Intake. A job that the leader does not know may have been
+// accepted a moment ago; then the ledger has it.
+func (e *Entry) Status(ctx context.Context, id string) (job.State, error) {
+	if state, known, leading := e.Leader.Status(ctx, id); leading && known {
+		return state, nil
+	}
+	state, known, err := e.Ledger.Status(ctx, id)
+	switch {
+	case err != nil:
+		count(LeaderUnknown)
+		e.Logger.WithError(err).WithField("job", id).Warn("state of the job cannot be read")
+		return "", &RefusedError{Reason: LeaderUnknown, RetryAfter: outageRetryAfter}
+	case !known:
+		return "", ErrUnknownJob
+	}
+	return state, nil
+}
+
+// Waiting implements Intake.
+func (e *Entry) Waiting(ctx context.Context, queue string) (int, error) {
+	n, leading := e.Leader.Waiting(ctx, queue)
+	if !leading {
+		count(LeaderUnknown)
+		return 0, &RefusedError{Reason: LeaderUnknown, RetryAfter: outageRetryAfter}
+	}
+	return n, nil
+}
+
+func count(result Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bamboowood_job_requests_total{result=%q}`, string(result))).Inc()
+}
--- /dev/null
+++ b/internal/leader/campaign.go
@@ -0,0 +1,174 @@
+// Package leader runs the planner of the one entry that leads: it reads the
+// ledger, keeps sessions to all agents, passes events to the planner and its
+// orders to the agents, and stores what has ended.
+package leader
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/site"
+)
+
+// Leases between entries. An entry starts nothing later than startLease after it
+// sent its last successful renewal, and no other entry leads before the renewal
+// has stood still for takeoverAfter.
+const (
+	renewInterval = 600 * time.Millisecond
+	startLease    = 2500 * time.Millisecond
+	takeoverAfter = 3 * time.Second
+	// watchInterval is how often the other entries look at the renewal.
+	watchInterval = 700 * time.Millisecond
+	// grantLease is how long after its last renewal a leader extends the leases of
+	// what runs, so that work outlives an outage of the store. A later leader
+	// waits as long for agents that it cannot reach.
+	grantLease = 12 * time.Second
+	// followWait is how long a feed waits for a change.
+	followWait = 20 * time.Second
+	// retryPause follows a failed call of the store.
+	retryPause = 250 * time.Millisecond
+)
+
+// Options of a Leader.
+type Options struct {
+	Ledger *ledger.Ledger
+	Logger log.Interface
+	// Address is where other processes reach this one; Process tells it from
+	// earlier ones there.
+	Address, Process string
+	// Site returns the operators' will.
+	Site func() *site.State
+	// Now is a clock that counts suspended time.
+	Now func() time.Duration
+	// Hold is the lease that agents get.
+	Hold    time.Duration
+	Planner planner.Options
+}
+
+// Leader competes for the leadership.
+type Leader struct {
+	opts Options
+	// term is the latest one that is known.
+	term atomic.Pointer[ledger.Term]
+	// reign is set while this process leads and knows all jobs.
+	reign atomic.Pointer[reign]
+}
+
+// New returns a leader; Run has to be called.
+func New(opts Options) *Leader {
+	l := &Leader{opts: opts}
+	l.term.Store(&ledger.Term{})
+	return l
+}
+
+// Address is where the entry that leads is reached; empty if that is not known.
+func (l *Leader) Address() string { return l.term.Load().Leader }
+
+// Leading says whether this process leads.
+func (l *Leader) Leading() bool { return l.reign.Load() != nil }
+
+// Run competes and leads until ctx ends; then it resigns.
+func (l *Leader) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := l.campaign(ctx); err != nil && ctx.Err() == nil {
+			l.opts.Logger.WithError(err).Warn("campaign for the leadership failed")
+			pause(ctx, retryPause+rand.N(retryPause))
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// campaign follows the current term until it ends, and leads the next one if it
+// can.
+func (l *Leader) campaign(ctx context.Context) error {
+	term, version, err := l.opts.Ledger.Leader(ctx)
+	if err != nil {
+		return err
+	}
+	l.observe(term)
+	if !l.vacant(term) {
+		vacant, err := l.watch(ctx, version)
+		if err != nil || !vacant {
+			return err
+		}
+	}
+	hold, err := l.opts.Ledger.Lead(ctx, term, l.opts.Address, l.opts.Process)
+	if errors.Is(err, ledger.ErrDeposed) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	l.observe(hold.Term)
+	return l.lead(ctx, hold)
+}
+
+func (l *Leader) observe(term ledger.Term) {
+	if old := l.term.Swap(&term); old.Number != term.Number {
+		l.opts.Logger.WithFields(log.Fields{"term": term.Number, "leader": term.Leader}).Info("term begins")
+	}
+}
+
+// vacant says whether nobody leads for certain: there was no term, its leader
+// has resigned, or was an earlier process at this address.
+func (l *Leader) vacant(term ledger.Term) bool {
+	return term.Number == 0 || term.Resigned || term.Leader == l.opts.Address
+}
+
+// watch returns true once the term is not renewed any more, and false when it
+// has changed.
+func (l *Leader) watch(ctx context.Context, version int64) (bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changed := make(chan error, 1)
+	go func() {
+		for {
+			next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
+			if err != nil || next != version {
+				changed <- err
+				return
+			}
+		}
+	}()
+	var seen int64
+	var since time.Duration
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false, ctx.Err()
+		case err := <-changed:
+			return false, err
+		case <-ticker.C:
+		}
+		renewal, err := l.opts.Ledger.Renewal(ctx)
+		switch now := l.opts.Now(); {
+		case err != nil:
+			l.opts.Logger.WithError(err).Warn("renewal cannot be read")
+		case renewal != seen:
+			seen, since = renewal, now
+		case now-since > takeoverAfter:
+			l.opts.Logger.WithFields(log.Fields{
+				"renewal": renewal, "age": (now - since).String(),
+			}).Warn("leader does not renew its term")
+			return true, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/link.go
@@ -0,0 +1,307 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
+)
+
+const (
+	// leaseMargin covers rounding and the time an agent takes to act.
+	leaseMargin = 300 * time.Millisecond
+	// linkDialTimeout bounds the connect and the first exchange with an agent.
+	linkDialTimeout = 800 * time.Millisecond
+	// linkSilence without a message means that the connection is dead: agents
+	// send a beat three times a second.
+	linkSilence = 1200 * time.Millisecond
+	// linkRetry is the pause between tries to reach an agent.
+	linkRetry = 200 * time.Millisecond
+	// maxLinkRetry bounds that pause, which grows for an agent that stays away.
+	maxLinkRetry = 1600 * time.Millisecond
+)
+
+// endMark names the last end that was taken from a life of a runner.
+type endMark struct {
+	runner   string
+	born     int64
+	sequence int64
+}
+
+// link is the session with one agent. Its fields are guarded by the reign's
+// lock, but for out.
+type link struct {
+	reign   *reign
+	id      string
+	address string
+	// granted is when the last lease was granted.
+	granted time.Duration
+	taken   endMark
+	acked   endMark
+	// removed says that the agent's registration has been removed.
+	removed bool
+
+	outMu sync.Mutex
+	out   *wirepb.LeaderMessage
+	ready chan struct{}
+}
+
+// addLink is called with the reign's lock held, or before its loops start.
+func (r *reign) addLink(id, address string) {
+	if k := r.links[id]; k != nil {
+		k.address = address
+		return
+	}
+	k := &link{reign: r, id: id, address: address, ready: make(chan struct{}, 1)}
+	r.links[id] = k
+	r.group.Go(k.run)
+}
+
+func (k *link) run() error {
+	r := k.reign
+	wait := linkRetry
+	for r.ctx.Err() == nil {
+		connected, err := k.session()
+		if errors.Is(err, errLaterTerm) {
+			return err
+		}
+		if connected {
+			wait = linkRetry
+			if r.ctx.Err() == nil {
+				r.opts.Logger.WithError(err).WithField("agent", k.id).Warn("agent lost")
+			}
+		}
+		pause(r.ctx, wait)
+		wait = min(wait*2, maxLinkRetry)
+	}
+	return r.ctx.Err()
+}
+
+// session runs one session and says whether the agent has answered.
+func (k *link) session() (connected bool, err error) {
+	r := k.reign
+	r.mu.Lock()
+	address := k.address
+	r.mu.Unlock()
+	dialCtx, cancel := context.WithTimeout(r.ctx, linkDialTimeout)
+	defer cancel()
+	session, err := wire.Dial(dialCtx, address, nil)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(r.ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Open(dialCtx)
+	if err != nil {
+		return false, err
+	}
+	if err := stream.SetDeadline(time.Now().Add(linkDialTimeout)); err != nil {
+		return false, err
+	}
+	if err := stream.Send(&wirepb.LeaderMessage{Term: r.hold.Term.Number, Leader: r.opts.Address}); err != nil {
+		return false, err
+	}
+	var first wirepb.AgentMessage
+	if err := stream.Recv(&first); err != nil {
+		return false, err
+	}
+	if first.LaterTerm > r.hold.Term.Number {
+		return true, errLaterTerm
+	}
+	if !first.Snapshot {
+		return false, fmt.Errorf("agent %s began without a snapshot", k.id)
+	}
+	k.connected(&first)
+	defer k.lost()
+	go k.write(session, stream)
+	for {
+		var m wirepb.AgentMessage
+		if err := stream.SetDeadline(time.Now().Add(linkSilence)); err != nil {
+			return true, err
+		}
+		if err := stream.Recv(&m); err != nil {
+			return true, err
+		}
+		if m.LaterTerm > r.hold.Term.Number {
+			return true, errLaterTerm
+		}
+		k.receive(&m)
+	}
+}
+
+// connected takes the agent's snapshot.
+func (k *link) connected(m *wirepb.AgentMessage) {
+	r := k.reign
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k.outMu.Lock()
+	k.out = &wirepb.LeaderMessage{}
+	k.outMu.Unlock()
+	k.acked = endMark{}
+	k.removed = false
+	now := r.opts.Now()
+	k.ends(now, m)
+	runner := wire.Runner(m.Runner)
+	active := wire.Activities(m.Active)
+	r.planner.AgentConnected(now, k.id, runner, active)
+	k.describe(active)
+	r.planner.SetFillerPace(k.id, int(m.FillerPacePlusOne)-1)
+	fields := log.Fields{"agent": k.id, "runs": len(m.Active), "ends": len(m.Ends), "unknown_agents": r.planner.UnknownAgents()}
+	if runner != nil {
+		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
+	}
+	r.opts.Logger.WithFields(fields).Info("agent connected")
+	r.changed()
+}
+
+// describe tells the agent what it cannot know of runs that it did not start.
+func (k *link) describe(active []job.Activity) {
+	for _, act := range active {
+		if step := k.reign.planner.Step(act.Run.Task); step != nil {
+			k.outMu.Lock()
+			k.out.Details = append(k.out.Details, details(act.Run, step))
+			k.outMu.Unlock()
+		}
+	}
+	kick(k.ready)
+}
+
+func details(run job.Run, step *job.Step) *wirepb.RunDetails {
+	return &wirepb.RunDetails{
+		Run: wire.RunRef(run), Filler: step.Filler, LatencyTargetMs: step.LatencyTarget.Milliseconds(),
+	}
+}
+
+// ends takes the ends of a message, each once.
+func (k *link) ends(now time.Duration, m *wirepb.AgentMessage) {
+	if m.Runner != nil && (m.Runner.Id != k.taken.runner || m.Runner.Born != k.taken.born) {
+		k.taken = endMark{runner: m.Runner.Id, born: m.Runner.Born}
+	}
+	for _, e := range m.Ends {
+		if e.Sequence <= k.taken.sequence {
+			continue
+		}
+		end, err := wire.End(e)
+		if err != nil {
+			k.reign.opts.Logger.WithError(err).WithField("agent", k.id).Error("end of a run left out")
+			continue
+		}
+		k.taken.sequence = e.Sequence
+		k.reign.planner.Ended(now, k.id, end)
+	}
+}
+
+func (k *link) lost() {
+	r := k.reign
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k.outMu.Lock()
+	k.out = nil
+	k.outMu.Unlock()
+	r.planner.AgentLost(k.id, k.granted+r.opts.Hold+leaseMargin)
+	r.changed()
+}
+
+func (k *link) receive(m *wirepb.AgentMessage) {
+	r := k.reign
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	if m.Runner != nil || m.NoRunner {
+		k.ends(now, m)
+		r.planner.RunnerChanged(now, k.id, wire.Runner(m.Runner))
+	} else {
+		k.ends(now, m)
+	}
+	for _, refusal := range m.Refusals {
+		run, err := wire.Run(refusal.Run)
+		if err != nil {
+			r.opts.Logger.WithError(err).WithField("agent", k.id).Error("refusal of a run left out")
+			continue
+		}
+		r.planner.Refused(now, k.id, run, planner.RefusalReason(refusal.Reason))
+	}
+	if len(m.Active) > 0 {
+		r.planner.Reported(now, k.id, wire.Activities(m.Active))
+	}
+	if m.FillerPacePlusOne > 0 {
+		r.planner.SetFillerPace(k.id, int(m.FillerPacePlusOne)-1)
+	}
+	if m.Beat != 0 && now < r.renewed+grantLease {
+		k.granted = now
+		k.send(func(out *wirepb.LeaderMessage) {
+			out.Grant = &wirepb.LeaseGrant{Beat: m.Beat, HoldMs: r.opts.Hold.Milliseconds()}
+		})
+	}
+	if len(m.Ends) > 0 || len(m.Refusals) > 0 || m.Runner != nil || m.NoRunner {
+		r.changed()
+	}
+}
+
+// send adds to the next message; it does nothing without a session.
+func (k *link) send(add func(out *wirepb.LeaderMessage)) {
+	k.outMu.Lock()
+	defer k.outMu.Unlock()
+	if k.out != nil {
+		add(k.out)
+		kick(k.ready)
+	}
+}
+
+func (k *link) start(o planner.Start) {
+	k.send(func(out *wirepb.LeaderMessage) {
+		out.Starts = append(out.Starts, &wirepb.StartOrder{
+			Details: details(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
+		})
+	})
+}
+
+func (k *link) stop(o planner.Stop) {
+	k.send(func(out *wirepb.LeaderMessage) { out.Stops = append(out.Stops, wire.RunRef(o.Run)) })
+}
+
+// ackEnds tells the agent that ends are stored.
+func (k *link) ackEnds(m endMark) {
+	if m == k.acked || m.sequence == 0 {
+		return
+	}
+	k.send(func(out *wirepb.LeaderMessage) {
+		out.Stored = &wirepb.EndsStored{RunnerId: m.runner, Born: m.born, Sequence: m.sequence}
+		k.acked = m
+	})
+}
+
+// write sends what has gathered until the session ends.
+func (k *link) write(session wire.Session, stream wire.Stream) {
+	for {
+		select {
+		case <-session.Done():
+			return
+		case <-k.ready:
+		}
+		k.outMu.Lock()
+		m := k.out
+		if m != nil {
+			k.out = &wirepb.LeaderMessage{}
+		}
+		k.outMu.Unlock()
+		if m == nil {
+			return
+		}
+		m.Term = k.reign.hold.Term.Number
+		if err := stream.Send(m); err != nil {
+			k.reign.opts.Logger.WithError(err).WithField("agent", k.id).Warn("message to agent not sent")
+			_ = session.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/queries.go
@@ -0,0 +1,188 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
+)
+
+// queryTimeout bounds a query of the leader; the ledger is the second way.
+const queryTimeout = 400 * time.Millisecond
+
+// Directory asks the entry that leads, which may be this one.
+type Directory struct {
+	Leader *Leader
+
+	mu      sync.Mutex
+	session wire.Session
+	address string
+}
+
+// Status asks for the state of a job.
+func (d *Directory) Status(ctx context.Context, id string) (state job.State, known, leading bool) {
+	if state, known, leading = d.Leader.Status(id); leading {
+		return state, known, true
+	}
+	answer := d.ask(ctx, &wirepb.Query{Job: id})
+	return job.State(answer.GetState()), answer.GetKnown(), answer.GetLeading()
+}
+
+// Waiting asks for the number of jobs of which no task has started.
+func (d *Directory) Waiting(ctx context.Context, queue string) (n int, leading bool) {
+	if n, leading = d.Leader.Waiting(queue); leading {
+		return n, true
+	}
+	answer := d.ask(ctx, &wirepb.Query{Queue: queue})
+	return int(answer.GetWaiting()), answer.GetLeading()
+}
+
+// ask returns nil if the leader cannot be asked.
+func (d *Directory) ask(ctx context.Context, q *wirepb.Query) *wirepb.QueryAnswer {
+	address := d.Leader.Address()
+	if address == "" || address == d.Leader.opts.Address {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	answer, err := d.askAt(ctx, address, q)
+	if err != nil {
+		d.Leader.opts.Logger.WithError(err).WithField("leader", address).Warn("leader not asked")
+		return nil
+	}
+	return answer
+}
+
+func (d *Directory) askAt(ctx context.Context, address string, q *wirepb.Query) (*wirepb.QueryAnswer, error) {
+	session, err := d.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := exchange(ctx, session, q)
+	if err != nil {
+		// A connection that stays silent would hold up each query.
+		d.drop(session)
+	}
+	return answer, err
+}
+
+func exchange(ctx context.Context, session wire.Session, q *wirepb.Query) (*wirepb.QueryAnswer, error) {
+	stream, err := session.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	if err := stream.Send(q); err != nil {
+		return nil, err
+	}
+	var answer wirepb.QueryAnswer
+	if err := stream.Recv(&answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+func (d *Directory) connect(ctx context.Context, address string) (wire.Session, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.session != nil && d.address == address {
+		select {
+		case <-d.session.Done():
+		default:
+			return d.session, nil
+		}
+	}
+	if d.session != nil {
+		_ = d.session.Close()
+		d.session = nil
+	}
+	session, err := wire.Dial(ctx, address, nil)
+	if err != nil {
+		return nil, err
+	}
+	d.session, d.address = session, address
+	return session, nil
+}
+
+func (d *Directory) drop(session wire.Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.session == session {
+		_ = session.Close()
+		d.session = nil
+	}
+}
+
+// ServeQueries answers other entries until ctx ends.
+func (l *Leader) ServeQueries(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept: %w", err)
+		}
+		wg.Go(func() { l.serveSession(ctx, conn) })
+	}
+}
+
+func (l *Leader) serveSession(ctx context.Context, conn net.Conn) {
+	session, err := wire.NewServerSession(conn)
+	if err != nil {
+		l.opts.Logger.WithError(err).Warn("session of an entry not begun")
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	for {
+		stream, err := session.Accept(ctx)
+		if err != nil {
+			if !errors.Is(err, wire.ErrSessionClosed) && ctx.Err() == nil {
+				l.opts.Logger.WithError(err).Warn("session of an entry ended")
+			}
+			return
+		}
+		go l.answer(stream)
+	}
+}
+
+func (l *Leader) answer(stream wire.Stream) {
+	defer func() { _ = stream.Close() }()
+	if err := stream.SetDeadline(time.Now().Add(queryTimeout)); err != nil {
+		return
+	}
+	var q wirepb.Query
+	if err := stream.Recv(&q); err != nil {
+		l.opts.Logger.WithError(err).Debug("query not read")
+		return
+	}
+	answer := &wirepb.QueryAnswer{}
+	if q.Job != "" {
+		var state job.State
+		state, answer.Known, answer.Leading = l.Status(q.Job)
+		answer.State = string(state)
+	} else {
+		n, leading := l.Waiting(q.Queue)
+		answer.Waiting, answer.Leading = int64(n), leading
+	}
+	if err := stream.Send(answer); err != nil {
+		l.opts.Logger.WithError(err).Debug("query not answered")
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,190 @@
+// Package ledger keeps in the platform's store what must outlast every process:
+// accepted jobs, their cancellation, what of them is done, who leads, and where
+// the agents are.
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/store"
+)
+
+// Tables. All rows are in one part, so that a transaction may change any of them.
+const (
+	part          = "main"
+	jobTable      = "jobs"
+	cancelTable   = "cancels"
+	progressTable = "progress"
+	termTable     = "term"
+	renewalTable  = "renewal"
+	agentTable    = "agents"
+)
+
+// leaderKey is the key of the one row of termTable and of renewalTable. They are
+// two tables because all entries follow the first, and the second changes often.
+const leaderKey = "leader"
+
+// Ledger is safe for concurrent use.
+type Ledger struct{ store store.Store }
+
+// New returns a ledger in s.
+func New(s store.Store) *Ledger { return &Ledger{store: s} }
+
+func key(table, k string) store.Key { return store.Key{Table: table, Part: part, Key: k} }
+
+// Accept stores a job. A job that is stored already stays as it is. After an
+// error that wraps store.ErrRefused the job is not stored and never will be by
+// this call; after any other error it may be.
+func (l *Ledger) Accept(ctx context.Context, j *job.Job) error {
+	value, err := json.Marshal(j)
+	if err != nil {
+		return fmt.Errorf("encode job: %w: %w", store.ErrRefused, err)
+	}
+	k := key(jobTable, j.ID)
+	_, err = l.store.Apply(ctx, store.Tx{
+		Expect: []store.Expect{{Key: k}}, Writes: []store.Write{{Key: k, Value: value}},
+	})
+	if conflict := (*store.ConflictError)(nil); errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// Cancel stores that a job is to end.
+func (l *Ledger) Cancel(ctx context.Context, id string) error {
+	_, err := l.store.Apply(ctx, store.Tx{Writes: []store.Write{{Key: key(cancelTable, id), Value: []byte("{}")}}})
+	return err
+}
+
+// Status reads a job's state from the store.
+func (l *Ledger) Status(ctx context.Context, id string) (state job.State, known bool, err error) {
+	if row, err := l.readOne(ctx, jobTable, id); err != nil || row == nil {
+		return "", false, err
+	}
+	row, err := l.readOne(ctx, progressTable, id)
+	if err != nil {
+		return "", false, err
+	}
+	if row != nil {
+		var p planner.Progress
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			return "", false, fmt.Errorf("decode progress of %s: %w", id, err)
+		}
+		return p.State, true, nil
+	}
+	if row, err = l.readOne(ctx, cancelTable, id); err != nil {
+		return "", false, err
+	}
+	if row != nil {
+		return job.Cancelled, true, nil
+	}
+	return job.Queued, true, nil
+}
+
+func (l *Ledger) readOne(ctx context.Context, table, k string) (*store.Row, error) {
+	rows, _, err := l.store.Read(ctx, store.Range{Table: table, Part: part, From: k, To: k + "\x00"})
+	if err != nil || len(rows) == 0 {
+		return nil, err
+	}
+	return &rows[0], nil
+}
+
+// Contents is all that the ledger has of jobs.
+type Contents struct {
+	Jobs     []*job.Job
+	Progress map[string]*planner.Progress
+	Cancels  []string
+	// Version is where feeds of jobs and cancels continue.
+	Version int64
+	// Unreadable has the errors of rows that were left out.
+	Unreadable []error
+
+	progressVersions map[string]int64
+}
+
+// Load reads everything.
+func (l *Ledger) Load(ctx context.Context) (*Contents, error) {
+	c := &Contents{Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{}}
+	jobs, version, err := l.store.Read(ctx, store.Range{Table: jobTable, Part: part})
+	if err != nil {
+		return nil, fmt.Errorf("read jobs: %w", err)
+	}
+	c.Version = version
+	for _, row := range jobs {
+		c.add(decodeJob(row))
+	}
+	progress, _, err := l.store.Read(ctx, store.Range{Table: progressTable, Part: part})
+	if err != nil {
+		return nil, fmt.Errorf("read progress: %w", err)
+	}
+	for _, row := range progress {
+		var p planner.Progress
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, err))
+			continue
+		}
+		c.Progress[row.Key] = &p
+		c.progressVersions[row.Key] = row.Version
+	}
+	cancels, _, err := l.store.Read(ctx, store.Range{Table: cancelTable, Part: part})
+	if err != nil {
+		return nil, fmt.Errorf("read cancels: %w", err)
+	}
+	for _, row := range cancels {
+		c.Cancels = append(c.Cancels, row.Key)
+	}
+	return c, nil
+}
+
+func (c *Contents) add(j *job.Job, err error) {
+	if err != nil {
+		c.Unreadable = append(c.Unreadable, err)
+		return
+	}
+	c.Jobs = append(c.Jobs, j)
+}
+
+func decodeJob(row store.Row) (*job.Job, error) {
+	j := &job.Job{ID: row.Key}
+	if err := json.Unmarshal(row.Value, j); err != nil {
+		return nil, fmt.Errorf("decode job %s: %w", row.Key, err)
+	}
+	return j, nil
+}
+
+// FollowJobs returns the jobs stored after a version, as soon as there is one.
+func (l *Ledger) FollowJobs(ctx context.Context, after int64, wait time.Duration) (*Contents, error) {
+	rows, version, err := l.store.Feed(ctx, jobTable, after, wait)
+	if err != nil {
+		return nil, err
+	}
+	c := &Contents{Version: version}
+	for _, row := range rows {
+		if !row.Deleted && row.Part == part {
+			c.add(decodeJob(row))
+		}
+	}
+	return c, nil
+}
+
+// FollowCancels returns the jobs cancelled after a version, as soon as there is
+// one.
+func (l *Ledger) FollowCancels(ctx context.Context, after int64, wait time.Duration) (*Contents, error) {
+	rows, version, err := l.store.Feed(ctx, cancelTable, after, wait)
+	if err != nil {
+		return nil, err
+	}
+	c := &Contents{Version: version}
+	for _, row := range rows {
+		if !row.Deleted && row.Part == part {
+			c.Cancels = append(c.Cancels, row.Key)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/ledger/term.go
@@ -0,0 +1,251 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"bamboowood/internal/planner"
+	"bamboowood/internal/store"
+)
+
+// ErrDeposed says that another entry leads a later term.
+var ErrDeposed = errors.New("a later term has begun")
+
+// Term is a leadership as the store has it.
+type Term struct {
+	// Number is 0 if nobody has led yet.
+	Number int64 `json:"number"`
+	// Leader is the peer address of the entry that leads.
+	Leader string `json:"leader"`
+	// Process tells two processes at the same address apart.
+	Process string `json:"process"`
+	// Resigned says that the leader has given up the term.
+	Resigned bool `json:"resigned,omitempty"`
+
+	version int64
+}
+
+// Leader reads who leads, and where FollowTerm continues.
+func (l *Ledger) Leader(ctx context.Context) (Term, int64, error) {
+	rows, version, err := l.store.Read(ctx, store.Range{Table: termTable, Part: part})
+	if err != nil {
+		return Term{}, 0, fmt.Errorf("read term: %w", err)
+	}
+	for _, row := range rows {
+		if row.Key == leaderKey {
+			t, err := decodeTerm(row)
+			return t, version, err
+		}
+	}
+	return Term{}, version, nil
+}
+
+// Renewal returns a number that changes with each renewal of the term.
+func (l *Ledger) Renewal(ctx context.Context) (int64, error) {
+	row, err := l.readOne(ctx, renewalTable, leaderKey)
+	if err != nil || row == nil {
+		return 0, err
+	}
+	return row.Version, nil
+}
+
+func decodeTerm(row store.Row) (Term, error) {
+	var t Term
+	if err := json.Unmarshal(row.Value, &t); err != nil {
+		return Term{}, fmt.Errorf("decode term: %w", err)
+	}
+	t.version = row.Version
+	return t, nil
+}
+
+// Hold is a term that this process leads. Its methods are not safe for
+// concurrent use, except Renew.
+type Hold struct {
+	ledger *Ledger
+	Term   Term
+	// progress has the version of each job's row of progressTable.
+	progress map[string]int64
+	// doubtful is a transaction that may have been applied.
+	doubtful *store.Tx
+}
+
+// Lead begins the term after prev, if prev is still the current one. A term that
+// this process began without learning of it is taken up.
+func (l *Ledger) Lead(ctx context.Context, prev Term, leader, process string) (*Hold, error) {
+	if prev.Process == process && !prev.Resigned {
+		return &Hold{ledger: l, Term: prev, progress: map[string]int64{}}, nil
+	}
+	t := Term{Number: prev.Number + 1, Leader: leader, Process: process}
+	value, err := json.Marshal(t)
+	if err != nil {
+		return nil, fmt.Errorf("encode term: %w", err)
+	}
+	k := key(termTable, leaderKey)
+	t.version, err = l.store.Apply(ctx, store.Tx{
+		Expect: []store.Expect{{Key: k, Version: prev.version}},
+		Writes: []store.Write{{Key: k, Value: value}, {Key: key(renewalTable, leaderKey), Value: []byte(process)}},
+	})
+	conflict := (*store.ConflictError)(nil)
+	if errors.As(err, &conflict) {
+		row, ok := conflict.Row(termTable, leaderKey)
+		if !ok || !bytes.Equal(row.Value, value) {
+			return nil, fmt.Errorf("%w: %w", ErrDeposed, err)
+		}
+		t.version = row.Version
+	} else if err != nil {
+		return nil, fmt.Errorf("begin term %d: %w", t.Number, err)
+	}
+	return &Hold{ledger: l, Term: t, progress: map[string]int64{}}, nil
+}
+
+func (h *Hold) expectTerm() store.Expect {
+	return store.Expect{Key: key(termTable, leaderKey), Version: h.Term.version}
+}
+
+// Renew shows the other entries that this process leads.
+func (h *Hold) Renew(ctx context.Context) error {
+	return deposedBy(h.ledger.apply(ctx, store.Tx{
+		Expect: []store.Expect{h.expectTerm()},
+		Writes: []store.Write{{Key: key(renewalTable, leaderKey), Value: []byte(h.Term.Process)}},
+	}))
+}
+
+// Resign gives up the term, so that another entry may lead at once.
+func (h *Hold) Resign(ctx context.Context) error {
+	t := h.Term
+	t.Resigned = true
+	value, err := json.Marshal(t)
+	if err != nil {
+		return fmt.Errorf("encode term: %w", err)
+	}
+	return h.ledger.apply(ctx, store.Tx{
+		Expect: []store.Expect{h.expectTerm()},
+		Writes: []store.Write{{Key: key(termTable, leaderKey), Value: value}},
+	})
+}
+
+func (l *Ledger) apply(ctx context.Context, tx store.Tx) error {
+	_, err := l.store.Apply(ctx, tx)
+	return err
+}
+
+func deposedBy(err error) error {
+	if conflict := (*store.ConflictError)(nil); errors.As(err, &conflict) {
+		return fmt.Errorf("%w: %w", ErrDeposed, err)
+	}
+	return err
+}
+
+// Load reads all jobs, and remembers the versions that Commit relies on.
+func (h *Hold) Load(ctx context.Context) (*Contents, error) {
+	c, err := h.ledger.Load(ctx)
+	if err == nil {
+		h.progress = c.progressVersions
+	}
+	return c, err
+}
+
+// MaxCommit is the most changes that Commit takes at once: each needs an
+// expected row and a write, and the term one more.
+const MaxCommit = (store.MaxTxEntries - 1) / 2
+
+// Commit stores changes of progress, all or none. After an error other than
+// ErrDeposed they may be stored; the same changes or newer ones of the same jobs
+// may be committed again.
+func (h *Hold) Commit(ctx context.Context, changes []planner.Change) error {
+	if h.doubtful != nil {
+		if err := h.settle(ctx); err != nil {
+			return err
+		}
+	}
+	tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
+	for _, c := range changes {
+		value, err := json.Marshal(c.Progress)
+		if err != nil {
+			return fmt.Errorf("encode progress of %s: %w", c.Job, err)
+		}
+		k := key(progressTable, c.Job)
+		tx.Expect = append(tx.Expect, store.Expect{Key: k, Version: h.progress[c.Job]})
+		tx.Writes = append(tx.Writes, store.Write{Key: k, Value: value})
+	}
+	return h.try(ctx, tx)
+}
+
+// settle repeats a transaction of which the result is not known.
+func (h *Hold) settle(ctx context.Context) error {
+	return h.try(ctx, *h.doubtful)
+}
+
+func (h *Hold) try(ctx context.Context, tx store.Tx) error {
+	version, err := h.ledger.store.Apply(ctx, tx)
+	conflict := (*store.ConflictError)(nil)
+	switch {
+	case err == nil:
+		h.doubtful = nil
+		for _, w := range tx.Writes {
+			h.progress[w.Key.Key] = version
+		}
+		return nil
+	case errors.As(err, &conflict):
+		return h.applied(tx, conflict)
+	case errors.Is(err, store.ErrRefused):
+		return err
+	}
+	h.doubtful = &tx
+	return err
+}
+
+// applied handles a conflict: an earlier try of the same transaction has been
+// applied if the rows are as it writes them, since nobody else writes them while
+// the term lasts.
+func (h *Hold) applied(tx store.Tx, conflict *store.ConflictError) error {
+	if row, ok := conflict.Row(termTable, leaderKey); !ok || row.Version != h.Term.version {
+		return fmt.Errorf("%w: %w", ErrDeposed, conflict)
+	}
+	h.doubtful = nil
+	all := true
+	for _, w := range tx.Writes {
+		row, ok := conflict.Row(w.Key.Table, w.Key.Key)
+		if !ok {
+			delete(h.progress, w.Key.Key)
+			all = false
+			continue
+		}
+		h.progress[w.Key.Key] = row.Version
+		all = all && bytes.Equal(row.Value, w.Value)
+	}
+	if !all {
+		return fmt.Errorf("progress rows have changed: %w", conflict)
+	}
+	return nil
+}
+
+// maxForget is the most jobs that Forget removes in one transaction.
+const maxForget = (store.MaxTxEntries - 1) / 3
+
+// Forget removes jobs that ended long ago.
+func (h *Hold) Forget(ctx context.Context, ids []string) error {
+	for len(ids) > 0 {
+		n := min(len(ids), maxForget)
+		tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
+		for _, id := range ids[:n] {
+			tx.Remove = append(tx.Remove, key(jobTable, id), key(progressTable, id), key(cancelTable, id))
+			delete(h.progress, id)
+		}
+		if err := deposedBy(h.ledger.apply(ctx, tx)); err != nil {
+			return err
+		}
+		ids = ids[n:]
+	}
+	return nil
+}
+
+// FollowTerm waits for another term to begin or the current one to be given up.
+func (l *Ledger) FollowTerm(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+	_, version, err := l.store.Feed(ctx, termTable, after, wait)
+	return version, err
+}
--- /dev/null
+++ b/internal/logline/logline.go
@@ -0,0 +1,124 @@
+// Package logline writes log entries as flat JSON objects, one a line, without
+// ever making the caller wait for the output.
+package logline
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+const (
+	// queueLines bounds the lines that wait for the output; further ones are
+	// dropped and counted.
+	queueLines = 4096
+	// bufferBytes is gathered before a write, unless the queue is empty.
+	bufferBytes = 32 << 10
+)
+
+// Handler implements log.Handler.
+type Handler struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	close   sync.Once
+}
+
+// New returns a handler that writes to w from a goroutine of its own. Close ends
+// that.
+func New(w io.Writer) *Handler {
+	h := &Handler{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	metrics.GetOrCreateGauge("bamboowood_log_lines_dropped_total", func() float64 { return float64(h.dropped.Load()) })
+	go h.write(w)
+	return h
+}
+
+// HandleLog implements log.Handler.
+func (h *Handler) HandleLog(e *log.Entry) error {
+	select {
+	case h.lines <- encode(e):
+	default:
+		h.dropped.Add(1)
+	}
+	return nil
+}
+
+// Dropped is the number of lines that were dropped.
+func (h *Handler) Dropped() int64 { return h.dropped.Load() }
+
+// closeTimeout bounds how long Close waits for the output.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes what waits, for a short time at most. No entry may be handled
+// afterwards.
+func (h *Handler) Close() {
+	h.close.Do(func() { close(h.lines) })
+	select {
+	case <-h.done:
+	case <-time.After(closeTimeout):
+	}
+}
+
+func (h *Handler) write(w io.Writer) {
+	defer close(h.done)
+	out := bufio.NewWriterSize(w, bufferBytes)
+	var told int64
+	for line := range h.lines {
+		if n := h.dropped.Load(); n > told {
+			fmt.Fprintf(out, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", n-told)
+			told = n
+		}
+		_, _ = out.Write(line) // a failed write shows in the next Flush
+		if len(h.lines) == 0 {
+			// Without an output there is nowhere to report to.
+			_ = out.Flush()
+		}
+	}
+	_ = out.Flush()
+}
+
+// encode returns the entry as one line: level, time and msg, then its fields by
+// name.
+func encode(e *log.Entry) []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"level":`)
+	b.WriteString(strconv.Quote(e.Level.String()))
+	b.WriteString(`,"time":`)
+	b.WriteString(strconv.Quote(e.Timestamp.UTC().Format("2006-01-02T15:04:05.000Z")))
+	b.WriteString(`,"msg":`)
+	writeValue(&b, e.Message)
+	names := make([]string, 0, len(e.Fields))
+	for name := range e.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		b.WriteByte(',')
+		writeValue(&b, name)
+		b.WriteByte(':')
+		writeValue(&b, e.Fields[name])
+	}
+	b.WriteString("}\n")
+	return b.Bytes()
+}
+
+func writeValue(b *bytes.Buffer, v any) {
+	if err, ok := v.(error); ok {
+		v = err.Error()
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		data = []byte(strconv.Quote(fmt.Sprint(v)))
+	}
+	b.Write(data)
+}
--- /dev/null
+++ b/internal/planner/agents.go
@@ -0,0 +1,441 @@
+package planner
+
+import (
+	"time"
+
+	"bamboowood/internal/job"
+)
+
+type phase uint8
+
+const (
+	// starting: ordered, and neither confirmed nor refused.
+	starting phase = iota
+	running
+	stopping
+)
+
+// run is a run that may be alive.
+type run struct {
+	id      job.Run
+	agent   *agent
+	step    *stepState
+	task    *taskState
+	phase   phase
+	ordered time.Duration
+	// percent and its last change, to find stalled runs.
+	percent   int
+	changedAt time.Duration
+	// confirmedAt is when the run was first seen at work.
+	confirmedAt time.Duration
+	stalled     bool
+}
+
+type agentState uint8
+
+const (
+	// unknown: an earlier planner may have ordered runs that are alive there.
+	unknown agentState = iota
+	live
+	// lost: no contact; what ran there may be alive until lapseAt.
+	lost
+	// gone: no contact, and nothing can be alive there.
+	gone
+)
+
+// agent is a runner's machine.
+type agent struct {
+	id      string
+	state   agentState
+	lapseAt time.Duration
+	runner  *job.Runner
+	rack    string
+	runs    map[job.Run]*run
+	// used is what all runs but fillers occupy, with the memory of fillers.
+	used job.Resources
+	// fillerCPU is what fillers ask for.
+	fillerCPU int64
+	// serving counts runs with a latency target.
+	serving int
+	// fillerPace is the share of their speed at which fillers run, in percent.
+	fillerPace int
+	health     health
+}
+
+// AgentKnown tells of an agent that may have runs of an earlier planner, alive
+// until lapseAt at the latest.
+func (p *Planner) AgentKnown(id string, lapseAt time.Duration) {
+	if p.agents[id] == nil {
+		p.addAgent(id, unknown).lapseAt = lapseAt
+		p.unknown++
+	}
+}
+
+func (p *Planner) addAgent(id string, state agentState) *agent {
+	a := &agent{id: id, state: state, runs: map[job.Run]*run{}, fillerPace: 100}
+	p.agents[id] = a
+	p.order = append(p.order, a)
+	return a
+}
+
+func (p *Planner) setState(a *agent, state agentState) {
+	if a.state == unknown && state != unknown {
+		p.unknown--
+	}
+	a.state = state
+}
+
+// UnknownAgents is the number of agents that recovered jobs still wait for.
+func (p *Planner) UnknownAgents() int { return p.unknown }
+
+// AgentConnected takes an agent's whole state: its runner (nil if there is none)
+// and the runs that may be alive there. Ends that it still lists must be passed
+// to Ended before.
+func (p *Planner) AgentConnected(now time.Duration, id string, r *job.Runner, active []job.Activity) {
+	a := p.agents[id]
+	if a == nil {
+		a = p.addAgent(id, live)
+	}
+	p.setState(a, live)
+	p.setRunner(a, r)
+	listed := make(map[job.Run]bool, len(active))
+	for _, act := range active {
+		listed[act.Run] = true
+		p.adopt(now, a, act)
+	}
+	for id, r := range a.runs {
+		if !listed[id] {
+			p.runGone(now, r)
+		}
+	}
+}
+
+// adopt takes a run that an agent lists. One that nobody needs is stopped.
+func (p *Planner) adopt(now time.Duration, a *agent, act job.Activity) {
+	if r := a.runs[act.Run]; r != nil {
+		if r.phase == stopping {
+			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id})
+		}
+		p.progressed(now, r, act)
+		return
+	}
+	s, t := p.find(act.Run.Task)
+	if s != nil && !t.done && t.active == nil && !s.job.state.Terminal() {
+		r := p.newRun(now, a, s, t, act.Run)
+		p.progressed(now, r, act)
+		if s.step.Gang {
+			s.gangRun = max(s.gangRun, act.Run.Number)
+		}
+		return
+	}
+	p.stops = append(p.stops, Stop{Agent: a.id, Run: act.Run})
+}
+
+func (p *Planner) find(t job.Task) (*stepState, *taskState) {
+	js := p.jobs[t.Job]
+	if js == nil {
+		return nil, nil
+	}
+	occ := js.open[t.Occurrence]
+	if occ == nil || t.Step >= len(occ.steps) || t.Index >= len(occ.steps[t.Step].tasks) {
+		return nil, nil
+	}
+	return &occ.steps[t.Step], &occ.steps[t.Step].tasks[t.Index]
+}
+
+func (p *Planner) newRun(now time.Duration, a *agent, s *stepState, t *taskState, id job.Run) *run {
+	r := &run{id: id, agent: a, step: s, task: t, ordered: now, changedAt: now}
+	s.setWaiting(t, false)
+	t.active = r
+	t.run = max(t.run, id.Number)
+	a.runs[id] = r
+	a.occupy(s.step, 1)
+	s.onAgent[a]++
+	s.job.live++
+	s.job.begun = true
+	return r
+}
+
+func (p *Planner) dropRun(r *run) {
+	delete(r.agent.runs, r.id)
+	r.agent.occupy(r.step.step, -1)
+	r.step.onAgent[r.agent]--
+	r.step.job.live--
+	if r.task.active == r {
+		r.task.active = nil
+	}
+}
+
+func (a *agent) occupy(s *job.Step, sign int64) {
+	if s.Filler {
+		a.fillerCPU += sign * s.CPU
+	} else {
+		a.used.CPU += sign * s.CPU
+	}
+	a.used.MemoryMB += sign * s.MemoryMB
+	a.used.GPUs += sign * s.GPUs
+	if s.LatencyTarget > 0 {
+		a.serving += int(sign)
+	}
+}
+
+// setRunner takes what the runner says of itself. A new life has none of the
+// runs of the one before.
+func (p *Planner) setRunner(a *agent, r *job.Runner) {
+	if r == nil || a.runner != nil && !a.runner.SameLife(r) {
+		a.health = health{}
+	}
+	a.runner = r
+	a.rack = ""
+	if r != nil {
+		a.rack = rackOf(r.Labels)
+	}
+}
+
+// RunnerChanged takes a report of the runner of a connected agent. Runs of an
+// earlier life are gone.
+func (p *Planner) RunnerChanged(now time.Duration, id string, r *job.Runner) {
+	a := p.agents[id]
+	if a == nil || a.state != live {
+		return
+	}
+	newLife := a.runner != nil && (r == nil || !a.runner.SameLife(r))
+	p.setRunner(a, r)
+	if newLife {
+		for _, r := range a.runs {
+			p.runGone(now, r)
+		}
+	}
+}
+
+// AgentGone says that there is no contact to an agent and nothing alive on it.
+func (p *Planner) AgentGone(id string) bool {
+	a := p.agents[id]
+	return a != nil && a.state == gone
+}
+
+// SetFillerPace takes the share of their speed at which an agent lets fillers run,
+// in percent.
+func (p *Planner) SetFillerPace(id string, percent int) {
+	if a := p.agents[id]; a != nil && percent >= 0 {
+		a.fillerPace = percent
+	}
+}
+
+// Step returns the step of a task of a job that has not ended, nil if there is
+// none.
+func (p *Planner) Step(t job.Task) *job.Step {
+	s, _ := p.find(t)
+	if s == nil {
+		return nil
+	}
+	return s.step
+}
+
+// AgentLost says that there is no contact to an agent. What ran there may be
+// alive until lapseAt.
+func (p *Planner) AgentLost(id string, lapseAt time.Duration) {
+	a := p.agents[id]
+	if a == nil || a.state != live {
+		return
+	}
+	a.state = lost
+	a.lapseAt = lapseAt
+}
+
+// expireLeases gives up the runs of agents whose leases have run out for certain.
+func (p *Planner) expireLeases(now time.Duration) {
+	for _, a := range p.order {
+		if now < a.lapseAt || a.state != unknown && a.state != lost {
+			continue
+		}
+		p.setState(a, gone)
+		for _, r := range a.runs {
+			p.stats.Lapses++
+			p.runGone(now, r)
+		}
+	}
+}
+
+// runGone says that a run is not alive and will not be.
+func (p *Planner) runGone(now time.Duration, r *run) {
+	p.dropRun(r)
+	if r.stalled {
+		r.task.avoid = r.agent
+	}
+	p.wait(now, r.step, r.task, 0)
+}
+
+// wait makes a task ready to start again after a delay, unless it is done.
+func (p *Planner) wait(now time.Duration, s *stepState, t *taskState, delay time.Duration) {
+	if t.done || s.job.state.Terminal() || t.active != nil {
+		return
+	}
+	t.notBefore = now + delay
+	if s.open {
+		s.setWaiting(t, true)
+		p.enqueue(s)
+	}
+}
+
+// Ended takes the end of a run.
+func (p *Planner) Ended(now time.Duration, id string, e job.End) {
+	a := p.agents[id]
+	var r *run
+	if a != nil {
+		r = a.runs[e.Run]
+	}
+	if r != nil {
+		p.dropRun(r)
+	}
+	s, t := p.find(e.Run.Task)
+	if s == nil || s.job.state.Terminal() {
+		return
+	}
+	t.run = max(t.run, e.Run.Number)
+	if a != nil {
+		p.judge(now, a, s, r, e)
+	}
+	if e.Checkpoint != "" && !t.done {
+		t.checkpoint = e.Checkpoint
+		if s.step.Gang {
+			s.gangCheckpoint = e.Checkpoint
+		}
+	}
+	if e.Reason == job.EndDone && !s.step.Continuous {
+		p.taskDone(now, s, t)
+		return
+	}
+	if t.done {
+		return
+	}
+	if e.Reason == job.EndFailed {
+		p.taskFailed(now, s, t, a)
+		if s.job.state.Terminal() {
+			return
+		}
+	}
+	if r != nil {
+		t.setbacks++
+		p.wait(now, s, t, retryDelay(t.setbacks, e.Reason))
+	}
+}
+
+// taskDone notes a task's success. The end of one member of a gang is that of
+// all.
+func (p *Planner) taskDone(now time.Duration, s *stepState, t *taskState) {
+	if s.step.Gang {
+		for i := range s.tasks {
+			p.markDone(s, &s.tasks[i])
+		}
+	} else {
+		p.markDone(s, t)
+	}
+	p.dirty[s.job] = struct{}{}
+	if s.done < len(s.tasks) {
+		return
+	}
+	s.occ.left--
+	if s.occ.left > 0 {
+		p.openSteps(s.occ)
+		return
+	}
+	delete(s.job.open, s.occ.k)
+	p.completeIfDone(now, s.job)
+}
+
+func (p *Planner) markDone(s *stepState, t *taskState) {
+	if t.done {
+		return
+	}
+	s.setWaiting(t, false)
+	t.done = true
+	s.done++
+	if t.active != nil && !s.step.Gang {
+		p.stopRun(t.active)
+	}
+}
+
+func (p *Planner) taskFailed(now time.Duration, s *stepState, t *taskState, a *agent) {
+	p.stats.Failures++
+	t.avoid = a
+	if s.step.Continuous {
+		return
+	}
+	t.failures++
+	p.dirty[s.job] = struct{}{}
+	if s.job.job.Queue.MaxAttempts > 0 && t.failures >= s.job.job.Queue.MaxAttempts {
+		p.finish(now, s.job, job.Failed)
+	}
+}
+
+// Delays before a task is started again.
+const (
+	// firstRetryDelay lets a runner recover that has just failed the task.
+	firstRetryDelay = 50 * time.Millisecond
+	// maxRetryDelay bounds the delay; a continuous task must be back within 3 s.
+	maxRetryDelay = 800 * time.Millisecond
+)
+
+func retryDelay(setbacks int, reason job.EndReason) time.Duration {
+	if reason == job.EndStopped || reason == job.EndLapsed || setbacks <= 1 {
+		return 0
+	}
+	return min(firstRetryDelay<<min(setbacks-2, 10), maxRetryDelay)
+}
+
+// RefusalReason says why a run does not exist.
+type RefusalReason string
+
+// RefusedRoom means that the runner lacked room; other reasons are not told
+// apart.
+const RefusedRoom RefusalReason = "room"
+
+// Refused says that an order to start a run had no effect and will have none.
+func (p *Planner) Refused(now time.Duration, id string, ref job.Run, reason RefusalReason) {
+	a := p.agents[id]
+	if a == nil || a.runs[ref] == nil {
+		return
+	}
+	r := a.runs[ref]
+	p.stats.Refusals++
+	p.dropRun(r)
+	if reason == RefusedRoom {
+		a.health.noRoomUntil = now + noRoomPause
+	} else {
+		a.health.setback(now)
+	}
+	r.task.setbacks++
+	p.wait(now, r.step, r.task, retryDelay(r.task.setbacks, job.EndFailed))
+}
+
+// Reported takes what an agent lists of its active runs.
+func (p *Planner) Reported(now time.Duration, id string, active []job.Activity) {
+	a := p.agents[id]
+	if a == nil || a.state != live {
+		return
+	}
+	for _, act := range active {
+		if r := a.runs[act.Run]; r != nil {
+			p.progressed(now, r, act)
+		}
+	}
+}
+
+func (p *Planner) progressed(now time.Duration, r *run, act job.Activity) {
+	if r.phase == starting && !act.Unconfirmed {
+		r.phase = running
+		r.confirmedAt = now
+		r.changedAt = now
+	}
+	if act.Percent != r.percent {
+		r.percent = act.Percent
+		r.changedAt = now
+	}
+	if act.Checkpoint != "" {
+		r.task.checkpoint = act.Checkpoint
+		if r.step.step.Gang {
+			r.step.gangCheckpoint = act.Checkpoint
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/place.go
@@ -0,0 +1,282 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bamboowood/internal/job"
+)
+
+// Start orders an agent to start a run.
+type Start struct {
+	Agent      string
+	Run        job.Run
+	Step       *job.Step
+	Payload    string
+	Checkpoint string
+}
+
+// Stop orders an agent to stop a run, or to see to it that it never starts.
+type Stop struct {
+	Agent string
+	Run   job.Run
+}
+
+// Orders are what agents are to do.
+type Orders struct {
+	Starts []Start
+	Stops  []Stop
+}
+
+// Plan returns the orders that follow from all events so far. mayStart is false
+// while this planner's leadership is in doubt.
+func (p *Planner) Plan(now Instant, mayStart bool) Orders {
+	p.expireLeases(now.Mono)
+	for js := range p.timed {
+		p.openDue(now, js, nil)
+		if js.opened == js.job.Runs() {
+			delete(p.timed, js)
+			p.completeIfDone(now.Mono, js)
+		}
+	}
+	p.tend(now.Mono)
+	var orders Orders
+	if mayStart {
+		orders.Starts = p.start(now.Mono)
+	}
+	orders.Stops, p.stops = p.stops, nil
+	return orders
+}
+
+// Ranks of steps: those that can meet their objective come first, those whose
+// result is worth nothing any more last.
+const (
+	rankInTime = iota
+	rankLate
+	rankWorthless
+)
+
+// lateFactor times the objective is the time after which a result is worth
+// nothing (RULES: "up to three times the objective is late").
+const lateFactor = 3
+
+type candidate struct {
+	step     *stepState
+	rank     int
+	priority int
+	slack    time.Duration
+}
+
+func (p *Planner) urgency(now time.Duration, s *stepState) candidate {
+	c := candidate{step: s, priority: s.job.job.Queue.Priority}
+	if s.step.Continuous {
+		return c
+	}
+	finish := now + s.job.tail[s.index]
+	c.slack = s.occ.due + s.job.objective - finish
+	switch {
+	case finish > s.occ.due+lateFactor*s.job.objective:
+		c.rank = rankWorthless
+	case c.slack < 0:
+		c.rank = rankLate
+	}
+	return c
+}
+
+func (a candidate) compare(b candidate) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack))
+}
+
+// start gives waiting tasks to runners, the most urgent first.
+func (p *Planner) start(now time.Duration) []Start {
+	var starts []Start
+	candidates := make([]candidate, 0, len(p.ready))
+	kept := p.ready[:0]
+	for _, s := range p.ready {
+		if s.waiting == 0 || s.job.state.Terminal() {
+			s.queued = false
+			continue
+		}
+		kept = append(kept, s)
+		if s.job.recovered && p.unknown > 0 {
+			continue
+		}
+		candidates = append(candidates, p.urgency(now, s))
+	}
+	clear(p.ready[len(kept):])
+	p.ready = kept
+	slices.SortStableFunc(candidates, candidate.compare)
+	eject := p.ejectionAllowed(now)
+	for _, c := range candidates {
+		if c.step.step.Gang {
+			starts = p.startGang(now, c.step, eject, starts)
+		} else {
+			starts = p.startTasks(now, c.step, eject, starts)
+		}
+	}
+	p.stats.Starts += int64(len(starts))
+	return starts
+}
+
+func (p *Planner) startTasks(now time.Duration, s *stepState, eject bool, starts []Start) []Start {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.waiting || now < t.notBefore {
+			continue
+		}
+		a := p.pick(now, s, t, eject)
+		if a == nil {
+			return starts
+		}
+		number := max(t.run+1, p.firstRun())
+		starts = append(starts, p.order1(now, a, s, i, number, t.checkpoint))
+	}
+	return starts
+}
+
+// firstRun is the lowest run number of this term.
+func (p *Planner) firstRun() int64 { return (p.opts.Term-1)*runsPerTerm + 1 }
+
+// startGang starts all members at once or none.
+func (p *Planner) startGang(now time.Duration, s *stepState, eject bool, starts []Start) []Start {
+	if s.waiting < len(s.tasks) {
+		return starts
+	}
+	number := max(s.gangRun+1, p.firstRun())
+	begun := len(starts)
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		a := p.pick(now, s, t, eject)
+		if a == nil || now < t.notBefore {
+			for _, undo := range starts[begun:] {
+				r := p.agents[undo.Agent].runs[undo.Run]
+				p.dropRun(r)
+				s.setWaiting(r.task, true)
+			}
+			return starts[:begun]
+		}
+		starts = append(starts, p.order1(now, a, s, i, number, s.gangCheckpoint))
+	}
+	s.gangRun = number
+	return starts
+}
+
+// order1 orders one run.
+func (p *Planner) order1(now time.Duration, a *agent, s *stepState, index int, number int64, checkpoint string) Start {
+	id := job.Run{
+		Task:   job.Task{Job: s.job.job.ID, Occurrence: s.occ.k, Step: s.index, Index: index},
+		Number: number,
+	}
+	p.newRun(now, a, s, &s.tasks[index], id)
+	return Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint}
+}
+
+// minFillerPace is the pace, in percent, below which a runner gets no more fillers.
+const minFillerPace = 50
+
+// Weights of the choice of a runner, as shares of a task's duration.
+const (
+	// loadWeight spreads work over runners.
+	loadWeight = 0.3
+	// besideServingWeight keeps fillers away from tasks with a latency target.
+	besideServingWeight = 0.5
+	// avoidWeight keeps a task away from the runner on which it went wrong.
+	avoidWeight = 3
+	// probationWeight keeps work away from runners that have failed of late.
+	probationWeight = 2
+)
+
+// pick returns the best runner for a task, nil if none will do.
+func (p *Planner) pick(now time.Duration, s *stepState, t *taskState, eject bool) *agent {
+	var best *agent
+	bestCost := 0.0
+	rack := ""
+	if s.step.RackLocal {
+		rack = s.siblingRack()
+	}
+	for _, a := range p.order {
+		if !p.eligible(now, a, s, eject) {
+			continue
+		}
+		if cost := p.cost(a, s, t, rack); best == nil || cost < bestCost {
+			best, bestCost = a, cost
+		}
+	}
+	return best
+}
+
+func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, eject bool) bool {
+	switch {
+	case a.state != live || a.runner == nil || a.runner.Draining,
+		p.site.Drained[a.runner.Zone],
+		a.runner.Service != s.job.job.Queue.Service,
+		now < a.health.noRoomUntil,
+		eject && a.health.ejected(now),
+		s.step.RequiredLabel != "" && !slices.Contains(a.runner.Labels, s.step.RequiredLabel),
+		s.step.MaxPerRunner > 0 && s.onAgent[a] >= s.step.MaxPerRunner:
+		return false
+	}
+	return a.fits(s.step)
+}
+
+// fits says whether the task has room. Fillers need CPU that is unused, though
+// the runner does not ask for it: more of them would only slow each other down.
+func (a *agent) fits(step *job.Step) bool {
+	capacity := a.runner.Capacity
+	if a.used.MemoryMB+step.MemoryMB > capacity.MemoryMB || a.used.GPUs+step.GPUs > capacity.GPUs {
+		return false
+	}
+	if step.Filler {
+		if a.fillerPace < minFillerPace {
+			return false
+		}
+		return a.fillerCPU == 0 || a.used.CPU+a.fillerCPU+step.CPU <= capacity.CPU
+	}
+	return a.used.CPU+step.CPU <= capacity.CPU
+}
+
+// cost is the expected delay of the task on the runner, as a share of its
+// duration.
+func (p *Planner) cost(a *agent, s *stepState, t *taskState, rack string) float64 {
+	step := s.step
+	cost := 0.0
+	if step.DataRack != "" && step.DataRack != a.rack || rack != "" && rack != a.rack {
+		cost += p.opts.RemoteFactor - 1
+	}
+	cost += loadWeight * a.load(step)
+	if step.Filler && a.serving > 0 {
+		cost += besideServingWeight
+	}
+	if step.LatencyTarget > 0 && a.fillerCPU > 0 {
+		cost += besideServingWeight
+	}
+	if step.Continuous {
+		cost += float64(s.onAgent[a])
+	}
+	if t.avoid == a {
+		cost += avoidWeight
+	}
+	if a.health.onProbation() {
+		cost += probationWeight
+	}
+	return cost
+}
+
+// load is the share of the runner's capacity that is asked for with the task.
+func (a *agent) load(step *job.Step) float64 {
+	if a.runner.Capacity.CPU <= 0 {
+		return 1
+	}
+	return float64(a.used.CPU+a.fillerCPU+step.CPU) / float64(a.runner.Capacity.CPU)
+}
+
+// siblingRack is the rack of a task of the step that has a runner.
+func (s *stepState) siblingRack() string {
+	for a, n := range s.onAgent {
+		if n > 0 {
+			return a.rack
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,319 @@
+// Package supervisor runs tasks on the runner beside an agent on the orders of a
+// leader. It alone calls that runner, so it knows every run that may be alive
+// there: those that the runner lists and those whose start has no result yet.
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/runner"
+)
+
+// Options of a supervisor.
+type Options struct {
+	Runner runner.Runner
+	Logger log.Interface
+	// Now is a clock that counts suspended time.
+	Now func() time.Duration
+	// MaxHold is the longest lease that the runner grants.
+	MaxHold time.Duration
+	// FirstToken is the fencing token to begin with; it must be higher than
+	// those of earlier processes on this machine.
+	FirstToken int64
+}
+
+// Order starts a run.
+type Order struct {
+	Details    Details
+	Payload    string
+	Checkpoint string
+}
+
+// Details is what the supervisor needs to know of a run besides starting it.
+type Details struct {
+	Run           job.Run
+	Filler        bool
+	LatencyTarget time.Duration
+}
+
+// Refused says that a run does not exist and never will.
+type Refused struct {
+	Run    job.Run
+	Reason runner.Refusal
+}
+
+// Update is what has changed since the last one.
+type Update struct {
+	// RunnerChanged says that Runner is new; nil means that there is none.
+	RunnerChanged bool
+	Runner        *job.Runner
+	Active        []job.Activity
+	Ends          []job.End
+	Refused       []Refused
+	// FillerPace is the share of their speed at which fillers run; it is set
+	// when FillerPaceChanged is.
+	FillerPaceChanged bool
+	FillerPace        int
+}
+
+func (u *Update) empty() bool {
+	return !u.RunnerChanged && len(u.Active) == 0 && len(u.Ends) == 0 && len(u.Refused) == 0 && !u.FillerPaceChanged
+}
+
+type phase uint8
+
+const (
+	// ordered: the start has no result yet.
+	ordered phase = iota
+	active
+	// stopping: an order to stop is under way or has been confirmed.
+	stopping
+)
+
+type taskRun struct {
+	details  Details
+	phase    phase
+	activity job.Activity
+	// resolved is set once the run can be alive only if the runner lists it; a
+	// report of a call that began later settles whether it is.
+	resolved   bool
+	resolvedAt time.Duration
+	reason     runner.Refusal
+	// reportedAt is when the leader was last told of the run's progress.
+	reportedAt time.Duration
+	// missing counts reports that should list the run and do not.
+	missing int
+}
+
+// Supervisor is safe for concurrent use.
+type Supervisor struct {
+	opts Options
+
+	mu     sync.Mutex
+	runner *job.Runner
+	// past has the ids and births of earlier lives.
+	past  map[life]bool
+	token int64
+	runs  map[job.Run]*taskRun
+	// ends are those that the leader has not stored, listed up to lastEnd.
+	ends      []job.End
+	lastEnd   int64
+	storedEnd int64
+	// permitted is how long the leader lets the lease last, on Now's clock.
+	permitted time.Duration
+	// leaseEnd is the latest time to which a lease may have been extended.
+	leaseEnd time.Duration
+	// clock is the runner's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Duration
+	// failures counts calls in a row that got no answer.
+	failures  int
+	refusedAt time.Duration
+
+	pacer   pacer
+	pacedAt time.Duration
+	update  Update
+	notify  chan struct{}
+	wake    chan struct{}
+	slots   chan struct{}
+	waiters sync.WaitGroup
+}
+
+type life struct {
+	id   string
+	born int64
+}
+
+// maxCalls bounds the concurrent orders to the runner.
+const maxCalls = 10
+
+// New returns a supervisor; Run has to be called.
+func New(opts Options) *Supervisor {
+	return &Supervisor{
+		opts: opts, past: map[life]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
+		notify: make(chan struct{}, 1), wake: make(chan struct{}, 1), slots: make(chan struct{}, maxCalls),
+		pacer: newPacer(),
+	}
+}
+
+// Updates signals that TakeUpdate has something.
+func (s *Supervisor) Updates() <-chan struct{} { return s.notify }
+
+func (s *Supervisor) signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// TakeUpdate returns what has changed since the last call or Snapshot.
+func (s *Supervisor) TakeUpdate() (u Update, any bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, s.update = s.update, Update{}
+	return u, !u.empty()
+}
+
+// Snapshot returns the whole state: the runner, all runs that may be alive and
+// all ends that are not stored. Updates before it are dropped.
+func (s *Supervisor) Snapshot() Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := Update{
+		RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...),
+		FillerPaceChanged: true, FillerPace: s.pacer.percent,
+	}
+	for _, r := range s.runs {
+		u.Active = append(u.Active, r.activity)
+	}
+	s.update = Update{}
+	return u
+}
+
+// Permit lets the lease last until a time on Now's clock.
+func (s *Supervisor) Permit(until time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.permitted <= s.opts.Now()
+	s.permitted = max(s.permitted, until)
+	if first {
+		s.signal(s.wake)
+	}
+}
+
+// Stored says that the ledger has the ends of a life of the runner up to
+// sequence.
+func (s *Supervisor) Stored(id string, born, sequence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runner == nil || s.runner.ID != id || s.runner.Born != born || sequence <= s.storedEnd {
+		return
+	}
+	s.storedEnd = sequence
+	kept := s.ends[:0]
+	for _, e := range s.ends {
+		if e.Sequence > sequence {
+			kept = append(kept, e)
+		}
+	}
+	s.ends = kept
+	s.signal(s.wake)
+}
+
+// Describe tells what the supervisor cannot know of runs that it did not start.
+func (s *Supervisor) Describe(all []Details) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range all {
+		if r := s.runs[d.Run]; r != nil {
+			r.details = d
+		}
+	}
+}
+
+// RunnerReported takes a report of the runner. Reports of earlier lives and
+// overtaken ones are ignored.
+func (s *Supervisor) RunnerReported(r job.Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.runner
+	switch {
+	case s.past[life{r.ID, r.Born}]:
+		return
+	case cur != nil && cur.SameLife(&r):
+		if r.Sequence <= cur.Sequence {
+			return
+		}
+		changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
+		s.runner = &r
+		if changed {
+			s.runnerChanged()
+		}
+		return
+	case cur != nil && r.Born != 0 && r.Born < cur.Born:
+		return
+	}
+	s.newLife(&r)
+}
+
+// RunnerLeft says that a life of the runner ends.
+func (s *Supervisor) RunnerLeft(id string, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runner == nil || s.runner.ID != id || born != 0 && born != s.runner.Born {
+		return
+	}
+	left := *s.runner
+	left.Draining, left.Remaining = true, 0
+	s.runner = &left
+	s.runnerChanged()
+}
+
+// newLife forgets all runs: a new life has none of the runs of the one before.
+func (s *Supervisor) newLife(r *job.Runner) {
+	if s.runner != nil {
+		s.past[life{s.runner.ID, s.runner.Born}] = true
+		s.token++
+		s.opts.Logger.WithFields(log.Fields{
+			"runner": s.runner.ID, "new_runner": r.ID, "born": r.Born, "runs_lost": len(s.runs),
+		}).Warn("runner has been replaced by a new life")
+	} else {
+		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.Born}).Info("runner found")
+	}
+	s.runner = r
+	clear(s.runs)
+	s.ends, s.lastEnd, s.storedEnd = nil, 0, 0
+	s.leaseEnd, s.clock, s.clockAt, s.failures = 0, 0, 0, 0
+	s.update.Active, s.update.Ends = nil, nil
+	s.runnerChanged()
+	s.signal(s.wake)
+}
+
+func (s *Supervisor) runnerChanged() {
+	s.update.RunnerChanged, s.update.Runner = true, s.runner
+	s.signal(s.notify)
+}
+
+// fence returns the life that calls are for, false if there is none.
+func (s *Supervisor) fence() (runner.Fence, bool) {
+	if s.runner == nil {
+		return runner.Fence{}, false
+	}
+	return runner.Fence{RunnerID: s.runner.ID, Token: s.token}, true
+}
+
+// tokenStep raises a fencing token above that of an earlier process whose clock
+// was ahead: an hour in milliseconds.
+const tokenStep = 3_600_000
+
+// raiseToken answers a refusal for a higher token. No other process calls this
+// runner, so the higher one is that of an earlier process on this machine.
+func (s *Supervisor) raiseToken() {
+	s.token += tokenStep
+	s.opts.Logger.WithField("token", s.token).Warn("runner knows a higher fencing token")
+}
+
+// gone says that a run is not alive and never will be.
+func (s *Supervisor) gone(run job.Run, reason runner.Refusal) {
+	if s.runs[run] == nil {
+		return
+	}
+	delete(s.runs, run)
+	s.update.Refused = append(s.update.Refused, Refused{Run: run, Reason: reason})
+	s.opts.Logger.WithFields(log.Fields{
+		"task": run.Task.String(), "run": run.Number, "reason": string(reason),
+	}).Info("run is not there")
+	s.signal(s.notify)
+}
+
+// Run calls the runner until ctx ends.
+func (s *Supervisor) Run(ctx context.Context) error {
+	defer s.waiters.Wait()
+	s.holdLoop(ctx)
+	return ctx.Err()
+}
