planner: serving tasks are gathered, fillers kept away from them

Ruled out: lack of CPU (half of it was free). Change: weights for the choice of a runner; a paced filler is not stalled.

--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -119,6 +119,9 @@
 	}
 	limit := stallTime
 	if s.step.Filler {
+		if r.agent.fillerPace < 100 {
+			return false
+		}
 		limit = fillerStallTime
 	}
 	return now-r.changedAt > limit
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -179,8 +179,12 @@
 const (
 	// loadWeight spreads work over runners.
 	loadWeight = 0.3
-	// besideServingWeight keeps fillers away from tasks with a latency target.
-	besideServingWeight = 0.5
+	// besideServingWeight keeps fillers away from tasks with a latency target: they
+	// are slowed down there.
+	besideServingWeight = 4
+	// gatherServingWeight keeps tasks with a latency target on few runners, so that
+	// the others are free for fillers.
+	gatherServingWeight = 1
 	// avoidWeight keeps a task away from the runner on which it went wrong.
 	avoidWeight = 3
 	// probationWeight keeps work away from runners that have failed of late.
@@ -248,10 +252,12 @@
 	if step.Filler && a.serving > 0 {
 		cost += besideServingWeight
 	}
-	if step.LatencyTarget > 0 && a.fillerCPU > 0 {
-		cost += besideServingWeight
-	}
-	if step.Continuous {
+	if step.LatencyTarget > 0 {
+		cost += besideServingWeight * float64(a.fillerCPU) / float64(max(a.runner.Capacity.CPU, 1))
+		if a.serving == 0 {
+			cost += gatherServingWeight
+		}
+	} else if step.Continuous {
 		cost += float64(s.onAgent[a])
 	}
 	if t.avoid == a {
