supervisor: an agent reports no state before its runner has listed what runs

Ruled out: the takeover's wait for unknown agents (it counted them as answered). Change: beats only until the first list of the runner, or until an earlier process's leases have run out.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -199,11 +199,11 @@
 	return out
 }
 
-// send sends the snapshot, then updates and beats until the session ends.
+// send sends beats until the snapshot is ready, then the snapshot, then updates
+// and beats until the session ends.
 func (f *Follower) send(ctx context.Context, session wire.Session, stream wire.Stream) {
 	defer func() { _ = session.Close() }()
-	m := message(f.opts.Supervisor.Snapshot())
-	m.Snapshot = true
+	m, snapshot := f.snapshot()
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	for {
@@ -222,11 +222,22 @@
 		case <-ticker.C:
 		case <-f.opts.Supervisor.Updates():
 		}
-		u, _ := f.opts.Supervisor.TakeUpdate()
-		m = message(u)
+		if !snapshot {
+			m, snapshot = f.snapshot()
+		} else {
+			u, _ := f.opts.Supervisor.TakeUpdate()
+			m = message(u)
+		}
 	}
 }
 
+func (f *Follower) snapshot() (m *wirepb.AgentMessage, ok bool) {
+	u, ok := f.opts.Supervisor.Snapshot()
+	m = message(u)
+	m.Snapshot = ok
+	return m, ok
+}
+
 func message(u supervisor.Update) *wirepb.AgentMessage {
 	m := &wirepb.AgentMessage{}
 	if u.RunnerChanged {
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -110,45 +109,37 @@
 	if err := stream.Send(&wirepb.LeaderMessage{Term: r.hold.Term.Number, Leader: r.opts.Address}); err != nil {
 		return false, err
 	}
-	var first wirepb.AgentMessage
-	if err := stream.Recv(&first); err != nil {
-		return false, err
-	}
-	if first.LaterTerm > r.hold.Term.Number {
-		return true, errLaterTerm
-	}
-	if !first.Snapshot {
-		return false, fmt.Errorf("agent %s began without a snapshot", k.id)
-	}
-	k.connected(&first)
+	k.open()
 	defer k.lost()
 	go k.write(session, stream)
 	for {
 		var m wirepb.AgentMessage
-		if err := stream.SetDeadline(time.Now().Add(linkSilence)); err != nil {
-			return true, err
-		}
 		if err := stream.Recv(&m); err != nil {
-			return true, err
+			return connected, err
 		}
 		if m.LaterTerm > r.hold.Term.Number {
-			return true, errLaterTerm
+			return connected, errLaterTerm
+		}
+		k.receive(&m, connected)
+		connected = connected || m.Snapshot
+		if err := stream.SetDeadline(time.Now().Add(linkSilence)); err != nil {
+			return connected, err
 		}
-		k.receive(&m)
 	}
 }
 
-// connected takes the agent's snapshot.
-func (k *link) connected(m *wirepb.AgentMessage) {
-	r := k.reign
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// open lets messages gather for the session.
+func (k *link) open() {
 	k.outMu.Lock()
+	defer k.outMu.Unlock()
 	k.out = &wirepb.LeaderMessage{}
-	k.outMu.Unlock()
+}
+
+// connected takes the agent's snapshot.
+func (k *link) connected(now time.Duration, m *wirepb.AgentMessage) {
+	r := k.reign
 	k.acked = endMark{}
 	k.removed = false
-	now := r.opts.Now()
 	k.ends(now, m)
 	runner := wire.Runner(m.Runner)
 	active := wire.Activities(m.Active)
@@ -211,11 +202,29 @@
 	r.changed()
 }
 
-func (k *link) receive(m *wirepb.AgentMessage) {
+// receive takes a message. Until the snapshot, an agent sends nothing but beats.
+func (k *link) receive(m *wirepb.AgentMessage, connected bool) {
 	r := k.reign
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
+	switch {
+	case m.Snapshot:
+		k.connected(now, m)
+	case connected:
+		k.update(now, m)
+	}
+	if m.Beat != 0 && now < r.renewed+grantLease {
+		k.granted = now
+		k.send(func(out *wirepb.LeaderMessage) {
+			out.Grant = &wirepb.LeaseGrant{Beat: m.Beat, HoldMs: r.opts.Hold.Milliseconds()}
+		})
+	}
+}
+
+// update takes what has changed at an agent.
+func (k *link) update(now time.Duration, m *wirepb.AgentMessage) {
+	r := k.reign
 	if m.Runner != nil || m.NoRunner {
 		k.ends(now, m)
 		r.planner.RunnerChanged(now, k.id, wire.Runner(m.Runner))
@@ -236,12 +245,6 @@
 	if m.FillerPacePlusOne > 0 {
 		r.planner.SetFillerPace(k.id, int(m.FillerPacePlusOne)-1)
 	}
-	if m.Beat != 0 && now < r.renewed+grantLease {
-		k.granted = now
-		k.send(func(out *wirepb.LeaderMessage) {
-			out.Grant = &wirepb.LeaseGrant{Beat: m.Beat, HoldMs: r.opts.Hold.Milliseconds()}
-		})
-	}
 	if len(m.Ends) > 0 || len(m.Refusals) > 0 || m.Runner != nil || m.NoRunner {
 		r.changed()
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -236,11 +236,14 @@
 // alive until lapseAt.
 func (p *Planner) AgentLost(id string, lapseAt time.Duration) {
 	a := p.agents[id]
-	if a == nil || a.state != live {
-		return
+	switch {
+	case a == nil:
+	case a.state == live:
+		a.state = lost
+		a.lapseAt = lapseAt
+	case a.state == unknown:
+		a.lapseAt = max(a.lapseAt, lapseAt)
 	}
-	a.state = lost
-	a.lapseAt = lapseAt
 }
 
 // expireLeases gives up the runs of agents whose leases have run out for certain.
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -188,6 +188,10 @@
 		s.opts.Logger.WithField("runner", s.runner.ID).Info("runner answers again")
 	}
 	s.failures, s.refusedAt = 0, 0
+	if !s.ready {
+		defer s.signal(s.notify)
+		s.ready = true
+	}
 	s.clock, s.clockAt = report.Clock, s.opts.Now()
 	if report.Unreadable > 0 {
 		s.opts.Logger.WithField("entries", report.Unreadable).Warn("entries of the runner's lists make no sense")
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -115,6 +115,11 @@
 	failures  int
 	refusedAt time.Duration
 
+	// ready says that all runs that may be alive are known: the runner has listed
+	// them to this process, or the leases of an earlier one have run out.
+	ready   bool
+	readyAt time.Duration
+
 	pacer   pacer
 	pacedAt time.Duration
 	update  Update
@@ -135,7 +140,8 @@
 // New returns a supervisor; Run has to be called.
 func New(opts Options) *Supervisor {
 	return &Supervisor{
-		opts: opts, past: map[life]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
+		readyAt: opts.Now() + opts.MaxHold + leaseMargin,
+		opts:    opts, past: map[life]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), wake: make(chan struct{}, 1), slots: make(chan struct{}, maxCalls),
 		pacer: newPacer(),
 	}
@@ -160,11 +166,15 @@
 }
 
 // Snapshot returns the whole state: the runner, all runs that may be alive and
-// all ends that are not stored. Updates before it are dropped.
-func (s *Supervisor) Snapshot() Update {
+// all ends that are not stored. Updates before it are dropped. ok is false while
+// the runs are not known.
+func (s *Supervisor) Snapshot() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{
+	if !s.ready && s.opts.Now() < s.readyAt {
+		return Update{}, false
+	}
+	u = Update{
 		RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...),
 		FillerPaceChanged: true, FillerPace: s.pacer.percent,
 	}
@@ -172,7 +182,7 @@
 		u.Active = append(u.Active, r.activity)
 	}
 	s.update = Update{}
-	return u
+	return u, true
 }
 
 // Permit lets the lease last until a time on Now's clock.
