planner, leader: failures are counted once; feeds of a second; the leader hears of jobs directly

Change: Failures has the run number; followWait is a second and entries tell the leader of what they stored; FollowTerm reports rows; queries do not dial a leader again that was unreachable a moment ago.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -62,6 +62,9 @@
 type Leader interface {
 	Status(ctx context.Context, id string) (state job.State, known, leading bool)
 	Waiting(ctx context.Context, queue string) (n int, leading bool)
+	// Accepted and Cancelled pass on what has just been stored.
+	Accepted(ctx context.Context, j *job.Job)
+	Cancelled(ctx context.Context, id string)
 }
 
 const (
@@ -105,6 +108,7 @@
 		if err == nil {
 			count("accepted")
 			logger.WithField("took_ms", time.Since(began).Milliseconds()).Info("job accepted")
+			go e.Leader.Accepted(context.WithoutCancel(ctx), j)
 			return nil
 		}
 		refused := errors.Is(err, store.ErrRefused)
@@ -134,6 +138,7 @@
 		if err == nil {
 			count("cancelled")
 			e.Logger.WithField("job", id).Info("job cancelled")
+			go e.Leader.Cancelled(context.WithoutCancel(ctx), id)
 			return nil
 		}
 		e.Logger.WithError(err).WithField("job", id).Warn("cancel not stored")
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -30,8 +30,9 @@
 	// what runs, so that work outlives an outage of the store. A later leader
 	// waits as long for agents that it cannot reach.
 	grantLease = 12 * time.Second
-	// followWait is how long a feed waits for a change.
-	followWait = 20 * time.Second
+	// followWait is how long a feed waits for a change. A feed may go silent, so it
+	// must not be much longer than what a change may take.
+	followWait = time.Second
 	// retryPause follows a failed call of the store.
 	retryPause = 250 * time.Millisecond
 )
@@ -139,11 +140,12 @@
 	changed := make(chan error, 1)
 	go func() {
 		for {
-			next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
-			if err != nil || next != version {
+			found, next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
+			if err != nil || found {
 				changed <- err
 				return
 			}
+			version = next
 		}
 	}()
 	var seen int64
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
 	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
 )
@@ -23,8 +24,16 @@
 	mu      sync.Mutex
 	session wire.Session
 	address string
+	// failedAt is when address was last found unreachable.
+	failedAt time.Duration
 }
 
+// redialPause follows a failed connect: meanwhile queries go to the ledger at
+// once.
+const redialPause = 300 * time.Millisecond
+
+var errUnreachable = errors.New("leader was unreachable a moment ago")
+
 // Status asks for the state of a job.
 func (d *Directory) Status(ctx context.Context, id string) (state job.State, known, leading bool) {
 	if state, known, leading = d.Leader.Status(id); leading {
@@ -43,6 +52,27 @@
 	return int(answer.GetWaiting()), answer.GetLeading()
 }
 
+// Accepted tells the leader of a job that has just been stored. The store's feed
+// is the second way.
+func (d *Directory) Accepted(ctx context.Context, j *job.Job) {
+	if d.Leader.accepted(j) {
+		return
+	}
+	value, err := ledger.EncodeJob(j)
+	if err != nil {
+		d.Leader.opts.Logger.WithError(err).Error("leader not told of a job")
+		return
+	}
+	d.ask(ctx, &wirepb.Query{Job: j.ID, Accepted: value})
+}
+
+// Cancelled tells the leader of a job that has just been cancelled.
+func (d *Directory) Cancelled(ctx context.Context, id string) {
+	if !d.Leader.cancelled(id) {
+		d.ask(ctx, &wirepb.Query{Job: id, Cancelled: true})
+	}
+}
+
 // ask returns nil if the leader cannot be asked.
 func (d *Directory) ask(ctx context.Context, q *wirepb.Query) *wirepb.QueryAnswer {
 	address := d.Leader.Address()
@@ -53,7 +83,9 @@
 	defer cancel()
 	answer, err := d.askAt(ctx, address, q)
 	if err != nil {
-		d.Leader.opts.Logger.WithError(err).WithField("leader", address).Warn("leader not asked")
+		if !errors.Is(err, errUnreachable) {
+			d.Leader.opts.Logger.WithError(err).WithField("leader", address).Warn("leader not asked")
+		}
 		return nil
 	}
 	return answer
@@ -107,11 +139,17 @@
 		_ = d.session.Close()
 		d.session = nil
 	}
+	now := d.Leader.opts.Now()
+	if d.address == address && d.failedAt != 0 && now-d.failedAt < redialPause {
+		return nil, errUnreachable
+	}
+	d.address, d.failedAt = address, 0
 	session, err := wire.Dial(ctx, address, nil)
 	if err != nil {
+		d.failedAt = d.Leader.opts.Now()
 		return nil, err
 	}
-	d.session, d.address = session, address
+	d.session = session
 	return session, nil
 }
 
@@ -174,11 +212,21 @@
 		return
 	}
 	answer := &wirepb.QueryAnswer{}
-	if q.Job != "" {
+	switch {
+	case q.Accepted != nil:
+		j, err := ledger.DecodeJob(q.Job, q.Accepted)
+		if err != nil {
+			l.opts.Logger.WithError(err).Error("news of a job left out")
+			return
+		}
+		answer.Leading = l.accepted(j)
+	case q.Cancelled:
+		answer.Leading = l.cancelled(q.Job)
+	case q.Job != "":
 		var state job.State
 		state, answer.Known, answer.Leading = l.Status(q.Job)
 		answer.State = string(state)
-	} else {
+	default:
 		n, leading := l.Waiting(q.Queue)
 		answer.Waiting, answer.Leading = int64(n), leading
 	}
--- a/internal/leader/reign.go
+++ b/internal/leader/reign.go
@@ -308,6 +308,7 @@
 	ids := r.planner.Forget(r.opts.Now())
 	stats := r.planner.Stats()
 	jobs := r.planner.Jobs()
+	loads := r.planner.Loads(r.opts.Now())
 	var away []string
 	for id, k := range r.links {
 		if !k.removed && r.planner.AgentGone(id) {
@@ -320,6 +321,14 @@
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
 		"lapses": stats.Lapses, "failures": stats.Failures, "refusals": stats.Refusals,
 	}).Info("planner")
+	for _, a := range loads {
+		r.opts.Logger.WithFields(log.Fields{
+			"agent": a.ID, "state": a.State, "runs": a.Runs, "cpu": a.Used.CPU, "cpu_of": a.Capacity.CPU,
+			"memory_mb": a.Used.MemoryMB, "memory_mb_of": a.Capacity.MemoryMB, "filler_cpu": a.FillerCPU,
+			"filler_pace": a.FillerPace, "serving": a.Serving, "draining": a.Draining, "ejected": a.Ejected,
+			"faults": a.RecentFaults,
+		}).Info("agent load")
+	}
 	if len(away) > 0 {
 		r.opts.Logger.WithField("agents", strings.Join(away, ",")).Info("agents removed")
 	}
@@ -465,4 +474,22 @@
 	return r.planner.Waiting(queue), true
 }
 
+// accepted takes a job that is stored. It reports whether this process leads.
+func (l *Leader) accepted(j *job.Job) bool {
+	r := l.reign.Load()
+	if r != nil {
+		r.take(&ledger.Contents{Jobs: []*job.Job{j}})
+	}
+	return r != nil
+}
+
+// cancelled takes a cancel that is stored. It reports whether this process leads.
+func (l *Leader) cancelled(id string) bool {
+	r := l.reign.Load()
+	if r != nil {
+		r.take(&ledger.Contents{Cancels: []string{id}})
+	}
+	return r != nil
+}
+
 var errLaterTerm = fmt.Errorf("agent follows a later term: %w", ledger.ErrDeposed)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,9 +42,9 @@
 // error that wraps store.ErrRefused the job is not stored and never will be by
 // this call; after any other error it may be.
 func (l *Ledger) Accept(ctx context.Context, j *job.Job) error {
-	value, err := json.Marshal(j)
+	value, err := EncodeJob(j)
 	if err != nil {
-		return fmt.Errorf("encode job: %w: %w", store.ErrRefused, err)
+		return fmt.Errorf("%w: %w", store.ErrRefused, err)
 	}
 	k := key(jobTable, j.ID)
 	_, err = l.store.Apply(ctx, store.Tx{
@@ -117,7 +117,7 @@
 	}
 	c.Version = version
 	for _, row := range jobs {
-		c.add(decodeJob(row))
+		c.add(DecodeJob(row.Key, row.Value))
 	}
 	progress, _, err := l.store.Read(ctx, store.Range{Table: progressTable, Part: part})
 	if err != nil {
@@ -150,10 +150,20 @@
 	c.Jobs = append(c.Jobs, j)
 }
 
-func decodeJob(row store.Row) (*job.Job, error) {
-	j := &job.Job{ID: row.Key}
-	if err := json.Unmarshal(row.Value, j); err != nil {
-		return nil, fmt.Errorf("decode job %s: %w", row.Key, err)
+// EncodeJob returns a job as the ledger stores it, without its id.
+func EncodeJob(j *job.Job) ([]byte, error) {
+	value, err := json.Marshal(j)
+	if err != nil {
+		return nil, fmt.Errorf("encode job %s: %w", j.ID, err)
+	}
+	return value, nil
+}
+
+// DecodeJob reads what EncodeJob returns.
+func DecodeJob(id string, value []byte) (*job.Job, error) {
+	j := &job.Job{ID: id}
+	if err := json.Unmarshal(value, j); err != nil {
+		return nil, fmt.Errorf("decode job %s: %w", id, err)
 	}
 	return j, nil
 }
@@ -167,7 +177,7 @@
 	c := &Contents{Version: version}
 	for _, row := range rows {
 		if !row.Deleted && row.Part == part {
-			c.add(decodeJob(row))
+			c.add(DecodeJob(row.Key, row.Value))
 		}
 	}
 	return c, nil
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -245,7 +245,10 @@
 }
 
 // FollowTerm waits for another term to begin or the current one to be given up.
-func (l *Ledger) FollowTerm(ctx context.Context, after int64, wait time.Duration) (int64, error) {
-	_, version, err := l.store.Feed(ctx, termTable, after, wait)
-	return version, err
+// version is where it continues.
+func (l *Ledger) FollowTerm(
+	ctx context.Context, after int64, wait time.Duration,
+) (changed bool, version int64, err error) {
+	rows, version, err := l.store.Feed(ctx, termTable, after, wait)
+	return len(rows) > 0, version, err
 }
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -313,7 +313,7 @@
 		return
 	}
 	if e.Reason == job.EndFailed {
-		p.taskFailed(now, s, t, a)
+		p.taskFailed(now, s, t, a, e.Run.Number)
 		if s.job.state.Terminal() {
 			return
 		}
@@ -359,15 +359,20 @@
 	}
 }
 
-func (p *Planner) taskFailed(now time.Duration, s *stepState, t *taskState, a *agent) {
+// taskFailed counts a failed run, once however often its end is listed.
+func (p *Planner) taskFailed(now time.Duration, s *stepState, t *taskState, a *agent, number int64) {
+	if number <= t.failures.LastRun {
+		return
+	}
 	p.stats.Failures++
 	t.avoid = a
 	if s.step.Continuous {
 		return
 	}
-	t.failures++
+	t.failures.Count++
+	t.failures.LastRun = number
 	p.dirty[s.job] = struct{}{}
-	if s.job.job.Queue.MaxAttempts > 0 && t.failures >= s.job.job.Queue.MaxAttempts {
+	if s.job.job.Queue.MaxAttempts > 0 && t.failures.Count >= s.job.job.Queue.MaxAttempts {
 		p.finish(now, s.job, job.Failed)
 	}
 }
@@ -442,3 +447,39 @@
 		}
 	}
 }
+
+// AgentLoad is what the planner holds of an agent.
+type AgentLoad struct {
+	ID           string
+	State        string
+	Runs         int
+	Used         job.Resources
+	Capacity     job.Resources
+	FillerCPU    int64
+	FillerPace   int
+	Serving      int
+	Draining     bool
+	Ejected      bool
+	RecentFaults int
+}
+
+// Loads returns what the planner holds of each agent.
+func (p *Planner) Loads(now time.Duration) []AgentLoad {
+	loads := make([]AgentLoad, 0, len(p.order))
+	for _, a := range p.order {
+		l := AgentLoad{
+			ID: a.id, State: a.state.String(), Runs: len(a.runs), Used: a.used, FillerCPU: a.fillerCPU,
+			FillerPace: a.fillerPace, Serving: a.serving, Ejected: a.health.ejected(now),
+			RecentFaults: len(a.health.failed),
+		}
+		if a.runner != nil {
+			l.Capacity, l.Draining = a.runner.Capacity, a.runner.Draining
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+func (s agentState) String() string {
+	return [...]string{unknown: "unknown", live: "live", lost: "lost", gone: "gone"}[s]
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -137,7 +137,7 @@
 	done bool
 	// waiting tasks may start once notBefore has passed.
 	waiting  bool
-	failures int
+	failures Failures
 	// run is the last run number that was used.
 	run        int64
 	active     *run
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -21,8 +21,16 @@
 	Whole bool `json:"whole,omitempty"`
 	// Done has a bit for each task that is done, by step.
 	Done [][]byte `json:"done,omitempty"`
-	// Failures has the tasks that have failed, as STEP.INDEX, and how often.
-	Failures map[string]int `json:"failures,omitempty"`
+	// Failures has the tasks that have failed, as STEP.INDEX.
+	Failures map[string]Failures `json:"failures,omitempty"`
+}
+
+// Failures counts the failed runs of one task.
+type Failures struct {
+	Count int `json:"count"`
+	// LastRun is the highest run number among them: an end that is listed again
+	// after a change of leaders does not count twice.
+	LastRun int64 `json:"run"`
 }
 
 func failureKey(step, index int) string { return strconv.Itoa(step) + "." + strconv.Itoa(index) }
@@ -45,7 +53,9 @@
 			s.tasks[i].done = true
 			s.done++
 		}
-		s.tasks[i].failures = o.Failures[failureKey(s.index, i)]
+		failures := o.Failures[failureKey(s.index, i)]
+		s.tasks[i].failures = failures
+		s.tasks[i].run = failures.LastRun
 	}
 }
 
@@ -88,9 +98,9 @@
 			if s.tasks[t].done {
 				pr.Done[i][t/8] |= 1 << (t % 8)
 			}
-			if s.tasks[t].failures > 0 && !s.step.Continuous {
+			if s.tasks[t].failures.Count > 0 {
 				if pr.Failures == nil {
-					pr.Failures = map[string]int{}
+					pr.Failures = map[string]Failures{}
 				}
 				pr.Failures[failureKey(i, t)] = s.tasks[t].failures
 				empty = false
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// followWait is how long a feed waits for a change.
-	followWait = 20 * time.Second
+	// followWait is how long a feed waits for a change. A feed may go silent, so it
+	// must not be much longer than what a change may take.
+	followWait = time.Second
 	// retryPause follows a failed call of the store.
 	retryPause = 200 * time.Millisecond
 )
