--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -156,11 +156,12 @@
 	return r
 }
 
-func (p *Planner) dropRun(r *run) {
+func (p *Planner) dropRun(now time.Duration, r *run) {
 	delete(r.agent.runs, r.id)
 	r.agent.occupy(r.step.step, -1)
 	r.step.onAgent[r.agent]--
 	r.step.job.live--
+	r.step.job.idleSince = now
 	if r.task.active == r {
 		r.task.active = nil
 	}
@@ -262,7 +263,7 @@
 
 // runGone says that a run is not alive and will not be.
 func (p *Planner) runGone(now time.Duration, r *run) {
-	p.dropRun(r)
+	p.dropRun(now, r)
 	if r.stalled {
 		r.task.avoid = r.agent
 	}
@@ -289,7 +290,7 @@
 		r = a.runs[e.Run]
 	}
 	if r != nil {
-		p.dropRun(r)
+		p.dropRun(now, r)
 	}
 	s, t := p.find(e.Run.Task)
 	if s == nil || s.job.state.Terminal() {
@@ -407,7 +408,7 @@
 	}
 	r := a.runs[ref]
 	p.stats.Refusals++
-	p.dropRun(r)
+	p.dropRun(now, r)
 	if reason == RefusedRoom {
 		a.health.noRoomUntil = now + noRoomPause
 	} else {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -52,7 +52,9 @@
 // Ranks of steps: those that can meet their objective come first, those whose
 // result is worth nothing any more last.
 const (
-	rankInTime = iota
+	// rankStarved: the job stands still; it gets one task.
+	rankStarved = iota
+	rankInTime
 	rankLate
 	rankWorthless
 )
@@ -61,6 +63,10 @@
 // nothing (RULES: "up to three times the objective is late").
 const lateFactor = 3
 
+// starvedAfter is how long a job may stand still for others' sake. The users allow
+// 3 s (RULES, LOST) while there is room.
+const starvedAfter = 2 * time.Second
+
 type candidate struct {
 	step     *stepState
 	rank     int
@@ -69,10 +75,14 @@
 }
 
 func (p *Planner) urgency(now time.Duration, s *stepState) candidate {
-	c := candidate{step: s, priority: s.job.job.Queue.Priority}
+	c := candidate{step: s, priority: s.job.job.Queue.Priority, rank: rankInTime}
 	if s.step.Continuous {
 		return c
 	}
+	if s.job.live == 0 && now-s.job.idleSince > starvedAfter {
+		c.rank = rankStarved
+		return c
+	}
 	finish := now + s.job.tail[s.index]
 	c.slack = s.occ.due + s.job.objective - finish
 	switch {
@@ -109,24 +119,38 @@
 	slices.SortStableFunc(candidates, candidate.compare)
 	eject := p.ejectionAllowed(now)
 	for _, c := range candidates {
-		if c.step.step.Gang {
+		switch {
+		case c.step.step.Gang:
 			starts = p.startGang(now, c.step, eject, starts)
-		} else {
-			starts = p.startTasks(now, c.step, eject, starts)
+		case c.rank == rankStarved && c.step.job.live == 0:
+			starts = p.startTasks(now, c.step, choice{eject: eject, crowd: true, limit: 1}, starts)
+		default:
+			starts = p.startTasks(now, c.step, choice{eject: eject}, starts)
 		}
 	}
 	p.stats.Starts += int64(len(starts))
 	return starts
 }
 
-func (p *Planner) startTasks(now time.Duration, s *stepState, eject bool, starts []Start) []Start {
+// choice says how a runner is chosen.
+type choice struct {
+	// eject leaves out runners that are ejected.
+	eject bool
+	// crowd lets fillers ask for more CPU than is unused.
+	crowd bool
+	// limit bounds the tasks to start; 0 means all.
+	limit int
+}
+
+func (p *Planner) startTasks(now time.Duration, s *stepState, c choice, starts []Start) []Start {
+	begun := len(starts)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if !t.waiting || now < t.notBefore {
 			continue
 		}
-		a := p.pick(now, s, t, eject)
-		if a == nil {
+		a := p.pick(now, s, t, c)
+		if a == nil || c.limit > 0 && len(starts)-begun == c.limit {
 			return starts
 		}
 		number := max(t.run+1, p.firstRun())
@@ -147,11 +171,11 @@
 	begun := len(starts)
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		a := p.pick(now, s, t, eject)
+		a := p.pick(now, s, t, choice{eject: eject})
 		if a == nil || now < t.notBefore {
 			for _, undo := range starts[begun:] {
 				r := p.agents[undo.Agent].runs[undo.Run]
-				p.dropRun(r)
+				p.dropRun(now, r)
 				s.setWaiting(r.task, true)
 			}
 			return starts[:begun]
@@ -192,7 +216,7 @@
 )
 
 // pick returns the best runner for a task, nil if none will do.
-func (p *Planner) pick(now time.Duration, s *stepState, t *taskState, eject bool) *agent {
+func (p *Planner) pick(now time.Duration, s *stepState, t *taskState, c choice) *agent {
 	var best *agent
 	bestCost := 0.0
 	rack := ""
@@ -200,7 +224,7 @@
 		rack = s.siblingRack()
 	}
 	for _, a := range p.order {
-		if !p.eligible(now, a, s, eject) {
+		if !p.eligible(now, a, s, c) {
 			continue
 		}
 		if cost := p.cost(a, s, t, rack); best == nil || cost < bestCost {
@@ -210,27 +234,30 @@
 	return best
 }
 
-func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, eject bool) bool {
+func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, c choice) bool {
 	switch {
 	case a.state != live || a.runner == nil || a.runner.Draining,
 		p.site.Drained[a.runner.Zone],
 		a.runner.Service != s.job.job.Queue.Service,
 		now < a.health.noRoomUntil,
-		eject && a.health.ejected(now),
+		c.eject && a.health.ejected(now),
 		s.step.RequiredLabel != "" && !slices.Contains(a.runner.Labels, s.step.RequiredLabel),
 		s.step.MaxPerRunner > 0 && s.onAgent[a] >= s.step.MaxPerRunner:
 		return false
 	}
-	return a.fits(s.step)
+	return a.fits(s.step, c.crowd)
 }
 
 // fits says whether the task has room. Fillers need CPU that is unused, though
 // the runner does not ask for it: more of them would only slow each other down.
-func (a *agent) fits(step *job.Step) bool {
+func (a *agent) fits(step *job.Step, crowd bool) bool {
 	capacity := a.runner.Capacity
 	if a.used.MemoryMB+step.MemoryMB > capacity.MemoryMB || a.used.GPUs+step.GPUs > capacity.GPUs {
 		return false
 	}
+	if step.Filler && crowd {
+		return true
+	}
 	if step.Filler {
 		if a.fillerPace < minFillerPace {
 			return false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -101,9 +101,11 @@
 	// them that are not done.
 	opened int
 	open   map[int]*occurrence
-	// live counts runs that may be alive.
-	live    int
-	endedAt time.Duration
+	// live counts runs that may be alive; without any, idleSince is when the last
+	// one ended.
+	live      int
+	idleSince time.Duration
+	endedAt   time.Duration
 }
 
 // occurrence is one execution of a job's steps.
@@ -166,7 +168,7 @@
 	age := max(now.Wall.Sub(j.AcceptedAt), 0)
 	js := &jobState{
 		job: j, state: job.Queued, durable: job.Queued, recovered: recovered,
-		accepted: now.Mono - age, objective: j.Objective(), tail: tails(j), open: map[int]*occurrence{},
+		accepted: now.Mono - age, idleSince: now.Mono, objective: j.Objective(), tail: tails(j), open: map[int]*occurrence{},
 	}
 	p.jobs[j.ID] = js
 	if progress != nil {
