--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -194,6 +194,7 @@
 		}
 		out = append(out, supervisor.Details{
 			Run: run, Filler: d.Filler, LatencyTarget: time.Duration(d.LatencyTargetMs) * time.Millisecond,
+			Image: d.Image, CPU: d.Cpu,
 		})
 	}
 	return out
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -57,6 +57,8 @@
 	fillerCPU int64
 	// serving counts runs with a latency target.
 	serving int
+	// servingCPU is what they ask for.
+	servingCPU int64
 	// fillerPace is the share of their speed at which fillers run, in percent.
 	fillerPace int
 	health     health
@@ -177,6 +179,7 @@
 	a.used.GPUs += sign * s.GPUs
 	if s.LatencyTarget > 0 {
 		a.serving += int(sign)
+		a.servingCPU += sign * s.CPU
 	}
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -95,7 +95,10 @@
 }
 
 func (a candidate) compare(b candidate) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack))
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.slack, b.slack),
+	)
 }
 
 // start gives waiting tasks to runners, the most urgent first.
@@ -197,7 +200,7 @@
 }
 
 // minFillerPace is the pace, in percent, below which a runner gets no more fillers.
-const minFillerPace = 50
+const minFillerPace = 30
 
 // Weights of the choice of a runner, as shares of a task's duration.
 const (
@@ -205,7 +208,7 @@
 	loadWeight = 0.3
 	// besideServingWeight keeps fillers away from tasks with a latency target: they
 	// are slowed down there.
-	besideServingWeight = 4
+	besideServingWeight = 1
 	// gatherServingWeight keeps tasks with a latency target on few runners, so that
 	// the others are free for fillers.
 	gatherServingWeight = 1
@@ -262,11 +265,19 @@
 		if a.fillerPace < minFillerPace {
 			return false
 		}
-		return a.fillerCPU == 0 || a.used.CPU+a.fillerCPU+step.CPU <= capacity.CPU
+		return a.fillerCPU == 0 || a.busyCPU()+a.fillerCPU+step.CPU <= capacity.CPU
 	}
 	return a.used.CPU+step.CPU <= capacity.CPU
 }
 
+// servingShare of the CPU that serving tasks ask for is what they use on average.
+const servingShare = 0.6
+
+// busyCPU is what is expected to be used by all but fillers.
+func (a *agent) busyCPU() int64 {
+	return a.used.CPU - int64((1-servingShare)*float64(a.servingCPU))
+}
+
 // cost is the expected delay of the task on the runner, as a share of its
 // duration.
 func (p *Planner) cost(a *agent, s *stepState, t *taskState, rack string) float64 {
@@ -301,7 +312,7 @@
 	if a.runner.Capacity.CPU <= 0 {
 		return 1
 	}
-	return float64(a.used.CPU+a.fillerCPU+step.CPU) / float64(a.runner.Capacity.CPU)
+	return float64(a.busyCPU()+a.fillerCPU+step.CPU) / float64(a.runner.Capacity.CPU)
 }
 
 // siblingRack is the rack of a task of the step that has a runner.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -39,6 +39,9 @@
 	Run           job.Run
 	Filler        bool
 	LatencyTarget time.Duration
+	Image         string
+	// CPU that the task asks for, in thousandths of a core.
+	CPU int64
 }
 
 // Refused says that a run does not exist and never will.
