planner: an end that is listed again after a change of leaders counts once

Ruled out: lapsed leases (the runs' ends came after the job's). Change: a done task is done once; failed runs are kept by number. Tests: TestPlanner_EndListedAgainAfterTakeover fails without the change.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"bamboowood/internal/job"
@@ -331,6 +332,10 @@
 // taskDone notes a task's success. The end of one member of a gang is that of
 // all.
 func (p *Planner) taskDone(now time.Duration, s *stepState, t *taskState) {
+	if t.done {
+		// Listed again after a change of leaders.
+		return
+	}
 	if s.step.Gang {
 		for i := range s.tasks {
 			p.markDone(s, &s.tasks[i])
@@ -365,7 +370,7 @@
 
 // taskFailed counts a failed run, once however often its end is listed.
 func (p *Planner) taskFailed(now time.Duration, s *stepState, t *taskState, a *agent, number int64) {
-	if number <= t.failures.LastRun {
+	if slices.Contains(t.failures, number) {
 		return
 	}
 	p.stats.Failures++
@@ -373,10 +378,9 @@
 	if s.step.Continuous {
 		return
 	}
-	t.failures.Count++
-	t.failures.LastRun = number
+	t.failures = append(t.failures, number)
 	p.dirty[s.job] = struct{}{}
-	if s.job.job.Queue.MaxAttempts > 0 && t.failures.Count >= s.job.job.Queue.MaxAttempts {
+	if s.job.job.Queue.MaxAttempts > 0 && len(t.failures) >= s.job.job.Queue.MaxAttempts {
 		p.finish(now, s.job, job.Failed)
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -138,8 +138,9 @@
 type taskState struct {
 	done bool
 	// waiting tasks may start once notBefore has passed.
-	waiting  bool
-	failures Failures
+	waiting bool
+	// failures are the numbers of the failed runs.
+	failures []int64
 	// run is the last run number that was used.
 	run        int64
 	active     *run
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+)
+
+// fixture drives a planner by hand.
+type fixture struct {
+	*Planner
+	t   *testing.T
+	now time.Duration
+	// ends numbers the ends of each agent.
+	ends map[string]int64
+}
+
+const testService = "desk"
+
+func newFixture(t *testing.T, term int64) *fixture {
+	return &fixture{
+		Planner: New(Options{Term: term, KeepEnded: time.Minute, RemoteFactor: 1.5}),
+		t:       t, now: time.Hour, ends: map[string]int64{},
+	}
+}
+
+func testRunner(id string) *job.Runner {
+	return &job.Runner{
+		ID: "i-" + id, Service: testService, Zone: "z1", Labels: []string{"a", "r1-" + id},
+		Capacity: job.Resources{CPU: 16_000, MemoryMB: 64_000},
+	}
+}
+
+func (f *fixture) instant() Instant {
+	return Instant{Mono: f.now, Wall: time.Unix(1_000_000, 0).Add(f.now)}
+}
+
+func (f *fixture) agent(id string, active ...job.Activity) {
+	f.AgentConnected(f.now, id, testRunner(id), active)
+}
+
+func testJob(n int, steps ...job.Step) *job.Job {
+	return &job.Job{
+		ID:    fmt.Sprintf("%016x", n),
+		Queue: job.Queue{Name: "q", Service: testService, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
+		Steps: steps,
+	}
+}
+
+func step(tasks int, after ...int) job.Step {
+	return job.Step{Tasks: tasks, CPU: 1000, MemoryMB: 1000, Estimate: time.Second, After: after}
+}
+
+func (f *fixture) add(j *job.Job, progress *Progress, recovered bool) {
+	j.AcceptedAt = f.instant().Wall
+	f.Add(f.instant(), j, progress, recovered)
+}
+
+func (f *fixture) plan() Orders { return f.Plan(f.instant(), true) }
+
+func (f *fixture) end(agent string, run job.Run, reason job.EndReason) {
+	f.ends[agent]++
+	f.Ended(f.now, agent, job.End{Sequence: f.ends[agent], Run: run, Reason: reason})
+}
+
+// commit stores all changes and returns them.
+func (f *fixture) commit() map[string]*Progress {
+	stored := map[string]*Progress{}
+	for _, c := range f.TakeChanges(1000) {
+		f.Committed(c)
+		stored[c.Job] = c.Progress
+	}
+	return stored
+}
+
+func (f *fixture) state(j *job.Job) job.State {
+	state, known := f.Status(j.ID)
+	must.True(f.t, known)
+	return state
+}
+
+func TestPlanner_RunsStepsInOrder(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(2), step(1, 0))
+	f.add(j, nil, false)
+	test.Eq(t, job.Queued, f.state(j))
+	first := f.plan().Starts
+	must.Len(t, 2, first)
+	test.Eq(t, job.Running, f.state(j))
+	f.end("a", first[0].Run, job.EndDone)
+	must.Len(t, 0, f.plan().Starts)
+	f.end("a", first[1].Run, job.EndDone)
+	second := f.plan().Starts
+	must.Len(t, 1, second)
+	test.Eq(t, 1, second[0].Run.Task.Step)
+	f.end("a", second[0].Run, job.EndDone)
+	test.Eq(t, job.Running, f.state(j), test.Sprint("shown as completed before the ledger has it"))
+	f.commit()
+	test.Eq(t, job.Completed, f.state(j))
+}
+
+// An end that the ledger has and the runner lists again, since the old leader did
+// not acknowledge it, must not complete its step twice.
+func TestPlanner_EndListedAgainAfterTakeover(t *testing.T) {
+	old := newFixture(t, 1)
+	old.agent("a")
+	j := testJob(1, step(1), step(2, 0))
+	old.add(j, nil, false)
+	first := old.plan().Starts
+	old.end("a", first[0].Run, job.EndDone)
+	second := old.plan().Starts
+	must.Len(t, 2, second)
+	stored := old.commit()[j.ID]
+	must.NotNil(t, stored)
+
+	f := newFixture(t, 2)
+	f.AgentKnown("a", f.now+time.Minute)
+	f.add(j, stored, true)
+	f.end("a", first[0].Run, job.EndDone)
+	f.agent("a", job.Activity{Run: second[0].Run}, job.Activity{Run: second[1].Run})
+	f.commit()
+	test.Eq(t, job.Running, f.state(j))
+	f.end("a", second[0].Run, job.EndDone)
+	f.commit()
+	test.Eq(t, job.Running, f.state(j))
+	f.end("a", second[1].Run, job.EndDone)
+	f.commit()
+	test.Eq(t, job.Completed, f.state(j))
+}
+
+// A failed end that is listed again counts once.
+func TestPlanner_FailureListedAgainAfterTakeover(t *testing.T) {
+	old := newFixture(t, 1)
+	old.agent("a")
+	j := testJob(1, step(1))
+	old.add(j, nil, false)
+	run := old.plan().Starts[0].Run
+	old.end("a", run, job.EndFailed)
+	stored := old.commit()[j.ID]
+	must.NotNil(t, stored)
+
+	f := newFixture(t, 2)
+	f.add(j, stored, true)
+	f.end("a", run, job.EndFailed)
+	f.agent("a")
+	test.Eq(t, job.Running, f.state(j))
+	again := f.plan().Starts
+	must.Len(t, 1, again)
+	test.Greater(t, run.Number, again[0].Run.Number)
+	f.end("a", again[0].Run, job.EndFailed)
+	f.commit()
+	test.Eq(t, job.Failed, f.state(j), test.Sprint("two attempts are allowed"))
+}
+
+// A task of a recovered job waits while an agent may have a run of it.
+func TestPlanner_RecoveredTaskWaitsForUnknownAgents(t *testing.T) {
+	f := newFixture(t, 2)
+	lapse := f.now + 10*time.Second
+	f.AgentKnown("a", lapse)
+	f.AgentKnown("b", lapse)
+	recovered, fresh := testJob(1, step(1)), testJob(2, step(1))
+	f.add(recovered, nil, true)
+	f.add(fresh, nil, false)
+	f.agent("a")
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, fresh.ID, starts[0].Run.Task.Job)
+	f.now = lapse - 1
+	must.Len(t, 0, f.plan().Starts)
+	f.now = lapse
+	must.Len(t, 1, f.plan().Starts)
+}
+
+// What runs on an agent without contact is started again only once its lease has
+// run out.
+func TestPlanner_LostAgent(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(1))
+	f.add(j, nil, false)
+	run := f.plan().Starts[0].Run
+	f.AgentLost("a", f.now+5*time.Second)
+	f.agent("b")
+	must.Len(t, 0, f.plan().Starts)
+	f.now += 5 * time.Second
+	again := f.plan().Starts
+	must.Len(t, 1, again)
+	test.Eq(t, "b", again[0].Agent)
+	// The run turns up after all: it is stopped, never adopted beside the new one.
+	f.agent("a", job.Activity{Run: run})
+	test.Eq(t, []Stop{{Agent: "a", Run: run}}, f.plan().Stops)
+}
+
+func TestPlanner_CancelStopsRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(2))
+	f.add(j, nil, false)
+	must.Len(t, 2, f.plan().Starts)
+	must.True(t, f.Cancel(f.now, j.ID))
+	orders := f.plan()
+	test.Len(t, 0, orders.Starts)
+	test.Len(t, 2, orders.Stops)
+	f.commit()
+	test.Eq(t, job.Cancelled, f.state(j))
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"strconv"
 
 	"bamboowood/internal/job"
@@ -21,16 +22,10 @@
 	Whole bool `json:"whole,omitempty"`
 	// Done has a bit for each task that is done, by step.
 	Done [][]byte `json:"done,omitempty"`
-	// Failures has the tasks that have failed, as STEP.INDEX.
-	Failures map[string]Failures `json:"failures,omitempty"`
-}
-
-// Failures counts the failed runs of one task.
-type Failures struct {
-	Count int `json:"count"`
-	// LastRun is the highest run number among them: an end that is listed again
-	// after a change of leaders does not count twice.
-	LastRun int64 `json:"run"`
+	// Failures has the numbers of the failed runs, by task as STEP.INDEX. With the
+	// numbers, an end that is listed again after a change of leaders does not count
+	// twice.
+	Failures map[string][]int64 `json:"failures,omitempty"`
 }
 
 func failureKey(step, index int) string { return strconv.Itoa(step) + "." + strconv.Itoa(index) }
@@ -53,9 +48,10 @@
 			s.tasks[i].done = true
 			s.done++
 		}
-		failures := o.Failures[failureKey(s.index, i)]
-		s.tasks[i].failures = failures
-		s.tasks[i].run = failures.LastRun
+		s.tasks[i].failures = o.Failures[failureKey(s.index, i)]
+		for _, number := range s.tasks[i].failures {
+			s.tasks[i].run = max(s.tasks[i].run, number)
+		}
 	}
 }
 
@@ -98,11 +94,11 @@
 			if s.tasks[t].done {
 				pr.Done[i][t/8] |= 1 << (t % 8)
 			}
-			if s.tasks[t].failures.Count > 0 {
+			if len(s.tasks[t].failures) > 0 {
 				if pr.Failures == nil {
-					pr.Failures = map[string]Failures{}
+					pr.Failures = map[string][]int64{}
 				}
-				pr.Failures[failureKey(i, t)] = s.tasks[t].failures
+				pr.Failures[failureKey(i, t)] = slices.Clone(s.tasks[t].failures)
 				empty = false
 			}
 		}
