planner: fillers are paced by learned interference

Change: the planner learns the pressure of each pair of images against undisturbed siblings, places fillers by it, and paces those that press most; a serving task over its target for 2.4 s stops them all. Agents pace alone without a leader.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -176,6 +176,13 @@
 			f.opts.Logger.WithError(err).Error("order to stop left out")
 		}
 	}
+	for _, o := range m.Paces {
+		if run, err := wire.Run(o.Run); err == nil {
+			s.Pace(run, int(o.Percent))
+		} else {
+			f.opts.Logger.WithError(err).Error("order to pace left out")
+		}
+	}
 	for _, o := range m.Starts {
 		if d := f.details([]*wirepb.RunDetails{o.Details}); len(d) == 1 {
 			s.Start(ctx, supervisor.Order{Details: d[0], Payload: o.Payload, Checkpoint: o.Checkpoint})
@@ -194,7 +201,6 @@
 		}
 		out = append(out, supervisor.Details{
 			Run: run, Filler: d.Filler, LatencyTarget: time.Duration(d.LatencyTargetMs) * time.Millisecond,
-			Image: d.Image, CPU: d.Cpu,
 		})
 	}
 	return out
@@ -254,9 +260,6 @@
 	for _, r := range u.Refused {
 		m.Refusals = append(m.Refusals, &wirepb.RunRefusal{Run: wire.RunRef(r.Run), Reason: string(r.Reason)})
 	}
-	if u.FillerPaceChanged {
-		m.FillerPacePlusOne = int32(u.FillerPace) + 1
-	}
 	return m
 }
 
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -145,7 +145,6 @@
 	active := wire.Activities(m.Active)
 	r.planner.AgentConnected(now, k.id, runner, active)
 	k.describe(active)
-	r.planner.SetFillerPace(k.id, int(m.FillerPacePlusOne)-1)
 	fields := log.Fields{"agent": k.id, "runs": len(m.Active), "ends": len(m.Ends), "unknown_agents": r.planner.UnknownAgents()}
 	if runner != nil {
 		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
@@ -169,7 +168,6 @@
 func details(run job.Run, step *job.Step) *wirepb.RunDetails {
 	return &wirepb.RunDetails{
 		Run: wire.RunRef(run), Filler: step.Filler, LatencyTargetMs: step.LatencyTarget.Milliseconds(),
-		Image: step.Image, Cpu: step.CPU,
 	}
 }
 
@@ -243,9 +241,6 @@
 	if len(m.Active) > 0 {
 		r.planner.Reported(now, k.id, wire.Activities(m.Active))
 	}
-	if m.FillerPacePlusOne > 0 {
-		r.planner.SetFillerPace(k.id, int(m.FillerPacePlusOne)-1)
-	}
 	if len(m.Ends) > 0 || len(m.Refusals) > 0 || m.Runner != nil || m.NoRunner {
 		r.changed()
 	}
@@ -273,6 +268,12 @@
 	k.send(func(out *wirepb.LeaderMessage) { out.Stops = append(out.Stops, wire.RunRef(o.Run)) })
 }
 
+func (k *link) pace(o planner.Pace) {
+	k.send(func(out *wirepb.LeaderMessage) {
+		out.Paces = append(out.Paces, &wirepb.PaceOrder{Run: wire.RunRef(o.Run), Percent: int32(o.Percent)})
+	})
+}
+
 // ackEnds tells the agent that ends are stored.
 func (k *link) ackEnds(m endMark) {
 	if m == k.acked || m.sequence == 0 {
--- a/internal/leader/reign.go
+++ b/internal/leader/reign.go
@@ -200,6 +200,11 @@
 				k.stop(o)
 			}
 		}
+		for _, o := range orders.Paces {
+			if k := r.links[o.Agent]; k != nil {
+				k.pace(o)
+			}
+		}
 		for _, o := range orders.Starts {
 			r.links[o.Agent].start(o)
 			r.opts.Logger.WithFields(log.Fields{
@@ -325,7 +330,7 @@
 		r.opts.Logger.WithFields(log.Fields{
 			"agent": a.ID, "state": a.State, "runs": a.Runs, "cpu": a.Used.CPU, "cpu_of": a.Capacity.CPU,
 			"memory_mb": a.Used.MemoryMB, "memory_mb_of": a.Capacity.MemoryMB, "filler_cpu": a.FillerCPU,
-			"filler_pace": a.FillerPace, "serving": a.Serving, "draining": a.Draining, "ejected": a.Ejected,
+			"filler_cpu_paced": a.PacedCPU, "serving": a.Serving, "draining": a.Draining, "ejected": a.Ejected,
 			"faults": a.RecentFaults,
 		}).Info("agent load")
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -27,6 +27,13 @@
 	// percent and its last change, to find stalled runs.
 	percent   int
 	changedAt time.Duration
+	// cpu in use at the last report, in thousandths of a core.
+	cpu int64
+	// pace is the share of its speed that was ordered, in percent.
+	pace int
+	// overSince is when a serving run's tail latency last rose over its target; 0
+	// while it is under it.
+	overSince time.Duration
 	// confirmedAt is when the run was first seen at work.
 	confirmedAt time.Duration
 	stalled     bool
@@ -60,9 +67,10 @@
 	serving int
 	// servingCPU is what they ask for.
 	servingCPU int64
-	// fillerPace is the share of their speed at which fillers run, in percent.
-	fillerPace int
-	health     health
+	// fillersChanged is when a filler was last started, ended or paced.
+	fillersChanged time.Duration
+	pacedAt        time.Duration
+	health         health
 }
 
 // AgentKnown tells of an agent that may have runs of an earlier planner, alive
@@ -75,7 +83,7 @@
 }
 
 func (p *Planner) addAgent(id string, state agentState) *agent {
-	a := &agent{id: id, state: state, runs: map[job.Run]*run{}, fillerPace: 100}
+	a := &agent{id: id, state: state, runs: map[job.Run]*run{}}
 	p.agents[id] = a
 	p.order = append(p.order, a)
 	return a
@@ -147,12 +155,12 @@
 }
 
 func (p *Planner) newRun(now time.Duration, a *agent, s *stepState, t *taskState, id job.Run) *run {
-	r := &run{id: id, agent: a, step: s, task: t, ordered: now, changedAt: now}
+	r := &run{id: id, agent: a, step: s, task: t, ordered: now, changedAt: now, pace: fullPace}
 	s.setWaiting(t, false)
 	t.active = r
 	t.run = max(t.run, id.Number)
 	a.runs[id] = r
-	a.occupy(s.step, 1)
+	a.occupy(now, s.step, 1)
 	s.onAgent[a]++
 	s.job.live++
 	s.job.begun = true
@@ -161,7 +169,7 @@
 
 func (p *Planner) dropRun(now time.Duration, r *run) {
 	delete(r.agent.runs, r.id)
-	r.agent.occupy(r.step.step, -1)
+	r.agent.occupy(now, r.step.step, -1)
 	r.step.onAgent[r.agent]--
 	r.step.job.live--
 	r.step.job.idleSince = now
@@ -170,9 +178,10 @@
 	}
 }
 
-func (a *agent) occupy(s *job.Step, sign int64) {
+func (a *agent) occupy(now time.Duration, s *job.Step, sign int64) {
 	if s.Filler {
 		a.fillerCPU += sign * s.CPU
+		a.fillersChanged = now
 	} else {
 		a.used.CPU += sign * s.CPU
 	}
@@ -219,14 +228,6 @@
 	return a != nil && a.state == gone
 }
 
-// SetFillerPace takes the share of their speed at which an agent lets fillers run,
-// in percent.
-func (p *Planner) SetFillerPace(id string, percent int) {
-	if a := p.agents[id]; a != nil && percent >= 0 {
-		a.fillerPace = percent
-	}
-}
-
 // Step returns the step of a task of a job that has not ended, nil if there is
 // none.
 func (p *Planner) Step(t job.Task) *job.Step {
@@ -444,6 +445,8 @@
 		r.confirmedAt = now
 		r.changedAt = now
 	}
+	r.cpu = act.CPU
+	p.learn(now, r, act)
 	if act.Percent != r.percent {
 		r.percent = act.Percent
 		r.changedAt = now
@@ -464,7 +467,7 @@
 	Used         job.Resources
 	Capacity     job.Resources
 	FillerCPU    int64
-	FillerPace   int
+	PacedCPU     int64
 	Serving      int
 	Draining     bool
 	Ejected      bool
@@ -477,9 +480,14 @@
 	for _, a := range p.order {
 		l := AgentLoad{
 			ID: a.id, State: a.state.String(), Runs: len(a.runs), Used: a.used, FillerCPU: a.fillerCPU,
-			FillerPace: a.fillerPace, Serving: a.serving, Ejected: a.health.ejected(now),
+			Serving: a.serving, Ejected: a.health.ejected(now),
 			RecentFaults: len(a.health.failed),
 		}
+		for _, r := range a.runs {
+			if r.step.step.Filler {
+				l.PacedCPU += r.step.step.CPU * int64(r.pace) / fullPace
+			}
+		}
 		if a.runner != nil {
 			l.Capacity, l.Draining = a.runner.Capacity, a.runner.Draining
 		}
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -119,7 +119,7 @@
 	}
 	limit := stallTime
 	if s.step.Filler {
-		if r.agent.fillerPace < 100 {
+		if r.pace < fullPace {
 			return false
 		}
 		limit = fillerStallTime
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -27,6 +27,7 @@
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
+	Paces  []Pace
 }
 
 // Plan returns the orders that follow from all events so far. mayStart is false
@@ -46,6 +47,7 @@
 		orders.Starts = p.start(now.Mono)
 	}
 	orders.Stops, p.stops = p.stops, nil
+	orders.Paces = p.paces(now.Mono)
 	return orders
 }
 
@@ -199,16 +201,15 @@
 	return Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint}
 }
 
-// minFillerPace is the pace, in percent, below which a runner gets no more fillers.
-const minFillerPace = 30
-
 // Weights of the choice of a runner, as shares of a task's duration.
 const (
 	// loadWeight spreads work over runners.
 	loadWeight = 0.3
-	// besideServingWeight keeps fillers away from tasks with a latency target: they
-	// are slowed down there.
-	besideServingWeight = 1
+	// besideServingWeight keeps fillers away from tasks with a latency target.
+	besideServingWeight = 0.2
+	// disturbanceWeight keeps fillers away from tasks that would come near their
+	// target: they would be slowed down there.
+	disturbanceWeight = 4
 	// gatherServingWeight keeps tasks with a latency target on few runners, so that
 	// the others are free for fillers.
 	gatherServingWeight = 1
@@ -230,7 +231,7 @@
 		if !p.eligible(now, a, s, c) {
 			continue
 		}
-		if cost := p.cost(a, s, t, rack); best == nil || cost < bestCost {
+		if cost := p.cost(now, a, s, t, rack); best == nil || cost < bestCost {
 			best, bestCost = a, cost
 		}
 	}
@@ -262,9 +263,6 @@
 		return true
 	}
 	if step.Filler {
-		if a.fillerPace < minFillerPace {
-			return false
-		}
 		return a.fillerCPU == 0 || a.busyCPU()+a.fillerCPU+step.CPU <= capacity.CPU
 	}
 	return a.used.CPU+step.CPU <= capacity.CPU
@@ -280,18 +278,17 @@
 
 // cost is the expected delay of the task on the runner, as a share of its
 // duration.
-func (p *Planner) cost(a *agent, s *stepState, t *taskState, rack string) float64 {
+func (p *Planner) cost(now time.Duration, a *agent, s *stepState, t *taskState, rack string) float64 {
 	step := s.step
 	cost := 0.0
 	if step.DataRack != "" && step.DataRack != a.rack || rack != "" && rack != a.rack {
 		cost += p.opts.RemoteFactor - 1
 	}
 	cost += loadWeight * a.load(step)
-	if step.Filler && a.serving > 0 {
-		cost += besideServingWeight
+	if step.Filler && a.serving > 0 || step.LatencyTarget > 0 {
+		cost += disturbanceCost(p.disturbed(now, a, s))
 	}
 	if step.LatencyTarget > 0 {
-		cost += besideServingWeight * float64(a.fillerCPU) / float64(max(a.runner.Capacity.CPU, 1))
 		if a.serving == 0 {
 			cost += gatherServingWeight
 		}
@@ -307,6 +304,11 @@
 	return cost
 }
 
+// disturbanceCost is what a predicted ratio of tail latency to target costs.
+func disturbanceCost(ratio float64) float64 {
+	return besideServingWeight + disturbanceWeight*max(ratio-paceGoal, 0)
+}
+
 // load is the share of the runner's capacity that is asked for with the task.
 func (a *agent) load(step *job.Step) float64 {
 	if a.runner.Capacity.CPU <= 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -67,6 +67,8 @@
 	ended []*jobState
 	stops []Stop
 	stats Stats
+
+	interference interference
 }
 
 // Stats count decisions since the planner was made.
@@ -80,6 +82,7 @@
 		opts: opts, site: &site.State{},
 		jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
+		interference: newInterference(),
 	}
 }
 
@@ -373,6 +376,7 @@
 			continue
 		}
 		delete(p.jobs, js.job.ID)
+		delete(p.interference.tails, js.job.ID)
 		gone = append(gone, js.job.ID)
 	}
 	clear(p.ended[len(kept):])
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -233,7 +233,7 @@
 	r := s.runs[act.Run]
 	if r == nil {
 		// Of an earlier process on this machine, or an order carried out late.
-		r = &taskRun{details: Details{Run: act.Run}, phase: active}
+		r = &taskRun{details: Details{Run: act.Run}, phase: active, pace: fullPace}
 		s.runs[act.Run] = r
 	}
 	if r.phase == ordered {
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -30,7 +30,7 @@
 	if s.runs[run] != nil {
 		return
 	}
-	r := &taskRun{details: o.Details, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
+	r := &taskRun{details: o.Details, pace: fullPace, paceSet: fullPace, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
 	if s.runner == nil || s.runner.Draining {
 		s.gone(run, runner.RefusedUnhealthy)
@@ -103,9 +103,7 @@
 		s.opts.Logger.WithFields(log.Fields{
 			"task": run.Task.String(), "run": run.Number, "runner": fence.RunnerID,
 		}).Info("run started")
-		if r.details.Filler && s.pacer.percent < fullPace {
-			s.paceRun(run)
-		}
+		s.paceRun(run, r)
 	case refusal == runner.RefusedFence:
 		s.raiseToken()
 		return false
--- a/internal/supervisor/pacer.go
+++ b/internal/supervisor/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 
@@ -24,7 +25,8 @@
 	minPace = 10
 )
 
-// pacer decides at which share of their speed the fillers of a runner work.
+// pacer decides at which share of their speed the fillers of a runner work while
+// the agent has no leader to say so.
 type pacer struct{ percent int }
 
 func newPacer() pacer { return pacer{percent: fullPace} }
@@ -47,40 +49,58 @@
 	return p.percent != before
 }
 
-// pace adjusts the fillers to the latest figures.
+// unfollowedTime without a leader is when the agent paces fillers itself.
+const unfollowedTime = 1500 * time.Millisecond
+
+// Pace carries out the leader's order to let a run work at a share of its speed.
+func (s *Supervisor) Pace(run job.Run, percent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[run]; r != nil {
+		r.pace = percent
+		s.paceRun(run, r)
+	}
+}
+
+// pace repeats orders that the runner has not confirmed and, without a leader,
+// adjusts the fillers to the latest figures.
 func (s *Supervisor) pace(all []job.Activity) {
-	worst := 0.0
-	var fillers []job.Run
+	if s.opts.Now()-s.followed > unfollowedTime {
+		s.paceAlone(all)
+	}
 	for _, act := range all {
-		r := s.runs[act.Run]
-		if r == nil {
-			continue
+		if r := s.runs[act.Run]; r != nil {
+			s.paceRun(act.Run, r)
 		}
-		if target := r.details.LatencyTarget; target > 0 {
-			worst = max(worst, float64(act.TailLatency)/float64(target))
-		}
-		if r.details.Filler {
-			fillers = append(fillers, act.Run)
+	}
+}
+
+func (s *Supervisor) paceAlone(all []job.Activity) {
+	worst := 0.0
+	for _, act := range all {
+		if r := s.runs[act.Run]; r != nil && r.details.LatencyTarget > 0 {
+			worst = max(worst, float64(act.TailLatency)/float64(r.details.LatencyTarget))
 		}
 	}
 	if !s.pacer.adjust(worst) {
 		return
 	}
-	s.update.FillerPaceChanged, s.update.FillerPace = true, s.pacer.percent
-	s.signal(s.notify)
 	s.opts.Logger.WithFields(log.Fields{
-		"percent": s.pacer.percent, "worst_latency_ratio": worst, "fillers": len(fillers),
-	}).Info("pace of fillers changed")
-	for _, run := range fillers {
-		s.paceRun(run)
+		"percent": s.pacer.percent, "worst_latency_ratio": worst,
+	}).Info("pace of fillers changed without a leader")
+	for _, r := range s.runs {
+		if r.details.Filler {
+			r.pace = s.pacer.percent
+		}
 	}
 }
 
-// paceRun sets the pace of one filler; the next change repeats a lost order.
-func (s *Supervisor) paceRun(run job.Run) {
+// paceRun tells the runner of a pace that it has not confirmed. A lost call is
+// repeated with the next report.
+func (s *Supervisor) paceRun(run job.Run, r *taskRun) {
 	fence, ok := s.fence()
-	percent := s.pacer.percent
-	if !ok {
+	percent := r.pace
+	if !ok || r.phase != active || r.activity.Unconfirmed || percent == r.paceSet {
 		return
 	}
 	s.waiters.Go(func() {
@@ -88,10 +108,15 @@
 		defer func() { <-s.slots }()
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		if err := s.opts.Runner.Pace(ctx, fence, run, percent); err != nil {
-			s.opts.Logger.WithError(err).WithFields(log.Fields{
-				"task": run.Task.String(), "run": run.Number, "percent": percent,
-			}).Warn("pace not set")
+		err := s.opts.Runner.Pace(ctx, fence, run, percent)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err == nil {
+			r.paceSet = percent
+			return
 		}
+		s.opts.Logger.WithError(err).WithFields(log.Fields{
+			"task": run.Task.String(), "run": run.Number, "percent": percent,
+		}).Warn("pace not set")
 	})
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -39,9 +39,6 @@
 	Run           job.Run
 	Filler        bool
 	LatencyTarget time.Duration
-	Image         string
-	// CPU that the task asks for, in thousandths of a core.
-	CPU int64
 }
 
 // Refused says that a run does not exist and never will.
@@ -58,14 +55,10 @@
 	Active        []job.Activity
 	Ends          []job.End
 	Refused       []Refused
-	// FillerPace is the share of their speed at which fillers run; it is set
-	// when FillerPaceChanged is.
-	FillerPaceChanged bool
-	FillerPace        int
 }
 
 func (u *Update) empty() bool {
-	return !u.RunnerChanged && len(u.Active) == 0 && len(u.Ends) == 0 && len(u.Refused) == 0 && !u.FillerPaceChanged
+	return !u.RunnerChanged && len(u.Active) == 0 && len(u.Ends) == 0 && len(u.Refused) == 0
 }
 
 type phase uint8
@@ -87,6 +80,9 @@
 	resolved   bool
 	resolvedAt time.Duration
 	reason     runner.Refusal
+	// pace is the share of its speed that is ordered, in percent; paceSet is the
+	// one that the runner has confirmed.
+	pace, paceSet int
 	// reportedAt is when the leader was last told of the run's progress.
 	reportedAt time.Duration
 	// missing counts reports that should list the run and do not.
@@ -125,11 +121,13 @@
 
 	pacer   pacer
 	pacedAt time.Duration
-	update  Update
-	notify  chan struct{}
-	wake    chan struct{}
-	slots   chan struct{}
-	waiters sync.WaitGroup
+	// followed is when the leader last extended the lease.
+	followed time.Duration
+	update   Update
+	notify   chan struct{}
+	wake     chan struct{}
+	slots    chan struct{}
+	waiters  sync.WaitGroup
 }
 
 type life struct {
@@ -179,7 +177,6 @@
 	}
 	u = Update{
 		RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...),
-		FillerPaceChanged: true, FillerPace: s.pacer.percent,
 	}
 	for _, r := range s.runs {
 		u.Active = append(u.Active, r.activity)
@@ -192,7 +189,8 @@
 func (s *Supervisor) Permit(until time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := s.permitted <= s.opts.Now()
+	s.followed = s.opts.Now()
+	first := s.permitted <= s.followed
 	s.permitted = max(s.permitted, until)
 	if first {
 		s.signal(s.wake)
