leader: an agent that left after its runner is forgotten at once

Change: an agent without a runner is gone when it is lost; registrations are removed at once; the lease is at most 6 s and grants go on for 7 s without a renewal, which outlasts the store's longest outage in the site files (9 s). Test: TestPlanner_AgentLeavesAfterItsRunner.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -41,6 +41,8 @@
 	garbagePercent = 400
 	// holdShare of the longest lease is what agents get: clocks may differ by 2%.
 	holdShare = 0.95
+	// maxHold bounds it: the work of a lost machine waits so long.
+	maxHold = 6 * time.Second
 	// settingsInterval is how often the settings file is looked at; it may change
 	// without a signal.
 	settingsInterval = 2 * time.Second
@@ -91,7 +93,7 @@
 
 // hold is the lease that agents get.
 func (n *PlatformNode) hold() time.Duration {
-	return time.Duration(holdShare * float64(n.node.Bounds.Hold))
+	return min(time.Duration(holdShare*float64(n.node.Bounds.Hold)), maxHold)
 }
 
 // RunEntry runs an entry until SIGTERM, and then until what it has begun is done.
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -27,9 +27,9 @@
 	// watchInterval is how often the other entries look at the renewal.
 	watchInterval = 700 * time.Millisecond
 	// grantLease is how long after its last renewal a leader extends the leases of
-	// what runs, so that work outlives an outage of the store. A later leader
-	// waits as long for agents that it cannot reach.
-	grantLease = 12 * time.Second
+	// what runs, so that work outlives an outage of the store: this and the lease
+	// together. A later leader waits as long for agents that it cannot reach.
+	grantLease = 7 * time.Second
 	// followWait is how long a feed waits for a change. A feed may go silent, so it
 	// must not be much longer than what a change may take.
 	followWait = time.Second
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -45,8 +45,6 @@
 	granted time.Duration
 	taken   endMark
 	acked   endMark
-	// removed says that the agent's registration has been removed.
-	removed bool
 
 	outMu sync.Mutex
 	out   *wirepb.LeaderMessage
@@ -139,7 +137,6 @@
 func (k *link) connected(now time.Duration, m *wirepb.AgentMessage) {
 	r := k.reign
 	k.acked = endMark{}
-	k.removed = false
 	k.ends(now, m)
 	runner := wire.Runner(m.Runner)
 	active := wire.Activities(m.Active)
--- a/internal/leader/reign.go
+++ b/internal/leader/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,9 @@
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
+	// away has the agents to be removed; only the commit loop uses it.
+	away []string
+
 	plan   chan struct{}
 	commit chan struct{}
 	renew  chan struct{}
@@ -234,6 +238,12 @@
 				r.opts.Logger.WithError(err).Warn("ledger not tidied")
 			}
 		}
+		if err := r.removeAgents(); errors.Is(err, ledger.ErrDeposed) {
+			return err
+		} else if err != nil && r.ctx.Err() == nil {
+			r.opts.Logger.WithError(err).Warn("agents not removed")
+			pause(r.ctx, retryPause)
+		}
 		r.mu.Lock()
 		pending, urgent := r.planner.Pending()
 		r.mu.Unlock()
@@ -314,13 +324,6 @@
 	stats := r.planner.Stats()
 	jobs := r.planner.Jobs()
 	loads := r.planner.Loads(r.opts.Now())
-	var away []string
-	for id, k := range r.links {
-		if !k.removed && r.planner.AgentGone(id) {
-			away = append(away, id)
-			k.removed = true
-		}
-	}
 	r.mu.Unlock()
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
@@ -334,10 +337,26 @@
 			"faults": a.RecentFaults,
 		}).Info("agent load")
 	}
-	if len(away) > 0 {
-		r.opts.Logger.WithField("agents", strings.Join(away, ",")).Info("agents removed")
+	return r.hold.Forget(r.ctx, ids)
+}
+
+// removeAgents removes the registrations of agents on which nothing is alive, so
+// that a later leader need not wait for them. Those that return register again.
+func (r *reign) removeAgents() error {
+	r.mu.Lock()
+	r.away = append(r.away, r.planner.TakeGone()...)
+	r.away = slices.DeleteFunc(r.away, func(id string) bool { return !r.planner.Gone(id) })
+	away := r.away
+	r.mu.Unlock()
+	if len(away) == 0 {
+		return nil
+	}
+	if err := r.hold.RemoveAgents(r.ctx, away); err != nil {
+		return err
 	}
-	return errors.Join(r.hold.Forget(r.ctx, ids), r.hold.RemoveAgents(r.ctx, away))
+	r.away = nil
+	r.opts.Logger.WithField("agents", strings.Join(away, ",")).Info("agents removed")
+	return nil
 }
 
 // follow calls next with the version that its last call returned, and reload when
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -222,8 +222,21 @@
 	}
 }
 
-// AgentGone says that there is no contact to an agent and nothing alive on it.
-func (p *Planner) AgentGone(id string) bool {
+func (p *Planner) setGone(a *agent) {
+	p.setState(a, gone)
+	p.gone = append(p.gone, a.id)
+}
+
+// TakeGone returns the agents without contact on which nothing is alive any more,
+// each once until it is connected again.
+func (p *Planner) TakeGone() []string {
+	gone := p.gone
+	p.gone = nil
+	return gone
+}
+
+// Gone says whether an agent is still without contact and without runs.
+func (p *Planner) Gone(id string) bool {
 	a := p.agents[id]
 	return a != nil && a.state == gone
 }
@@ -244,6 +257,9 @@
 	a := p.agents[id]
 	switch {
 	case a == nil:
+	case a.state == live && a.runner == nil:
+		// Without a runner nothing runs, and nothing can be started.
+		p.setGone(a)
 	case a.state == live:
 		a.state = lost
 		a.lapseAt = lapseAt
@@ -258,7 +274,7 @@
 		if now < a.lapseAt || a.state != unknown && a.state != lost {
 			continue
 		}
-		p.setState(a, gone)
+		p.setGone(a)
 		for _, r := range a.runs {
 			p.stats.Lapses++
 			p.runGone(now, r)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -66,6 +66,7 @@
 	dirty map[*jobState]struct{}
 	ended []*jobState
 	stops []Stop
+	gone  []string
 	stats Stats
 
 	interference interference
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -210,3 +210,17 @@
 	f.commit()
 	test.Eq(t, job.Cancelled, f.state(j))
 }
+
+// An agent that leaves after its runner has nothing alive: recovered jobs and a
+// later leader need not wait for it.
+func TestPlanner_AgentLeavesAfterItsRunner(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.RunnerChanged(f.now, "a", nil)
+	f.AgentLost("a", f.now+time.Hour)
+	test.Eq(t, []string{"a"}, f.TakeGone())
+	test.Len(t, 0, f.TakeGone())
+	test.True(t, f.Gone("a"))
+	f.agent("a")
+	test.False(t, f.Gone("a"))
+}
