daemon: whole-path tests over stand-ins of the platform

Two entries and two agents over the store's and runners' stand-ins: a job of two steps, the same job handed in twice, an outage, a leader that stops, a cancel.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -72,13 +72,17 @@
 	}
 	logs := logline.New(os.Stdout)
 	log.SetHandler(logs)
-	logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
+	return newPlatformNode(role, path, node, logs), nil
+}
+
+func newPlatformNode(role, path string, node platform.Node, logs *logline.Handler) *PlatformNode {
+	logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
 	logger.WithFields(log.Fields{
 		"role": role, "node": node.Name, "zone": node.Zone, "ip": node.IP, "pid": os.Getpid(),
 	}).Info("process starts")
-	return &PlatformNode{node: node, path: path, logs: logs, logger: logger}, nil
+	return &PlatformNode{node: node, path: path, logs: logs, logger: logger}
 }
 
 // Close writes the last log lines.
--- /dev/null
+++ b/internal/daemon/platform_test.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"bamboowood/internal/logline"
+	"bamboowood/platform"
+	"bamboowood/platform/platformtest"
+)
+
+// Ports of the test's processes; each has a loopback address of its own.
+const (
+	testFrontPort  = "18161"
+	testReadyPort  = "18167"
+	testReportPort = "18166"
+	testRunnerPort = "18165"
+	testPeerPort   = 17720
+)
+
+const testConfig = `{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","service":"desk",
+	"maxAttempts":2,"stretch":2,"sloMs":1000}],"services":[{"name":"desk","admissionCheck":true}],
+	"limits":{"maxBodyBytes":100000}}`
+
+// deployment runs entries and agents in this process, over stand-ins.
+type deployment struct {
+	t       *testing.T
+	store   *platformtest.Store
+	runners []*platformtest.Runner
+	stop    map[string]func()
+	logs    syncBuffer
+}
+
+// syncBuffer gathers log lines.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func serve(t *testing.T, address string, handler http.Handler) string {
+	ln, err := net.Listen("tcp", address)
+	must.NoError(t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
+func (d *deployment) node(ip string) platform.Node {
+	return platform.Node{
+		Name: ip, IP: ip, Zone: "z1", PeerPortFirst: testPeerPort, PeerPortLast: testPeerPort + 15,
+		FrontAddress:  net.JoinHostPort(ip, testFrontPort),
+		ReadyAddress:  net.JoinHostPort(ip, testReadyPort),
+		ReportAddress: net.JoinHostPort(ip, testReportPort),
+		RunnerAddress: net.JoinHostPort(ip, testRunnerPort),
+		StoreAddress:  "127.0.7.1:18169", MemoryBytes: 100 << 20,
+		Bounds: platform.Bounds{
+			Hold: 6 * time.Second, Stop: 400 * time.Millisecond, Grace: 4 * time.Second,
+			Keep: time.Minute, RemoteFactor: 1.5,
+		},
+	}
+}
+
+func (d *deployment) begin(ip string, run func(*PlatformNode, context.Context) error) {
+	path := filepath.Join(d.t.TempDir(), "node.toml")
+	must.NoError(d.t, os.WriteFile(path, nil, 0o600))
+	n := newPlatformNode("test", path, d.node(ip), logline.New(&d.logs))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- run(n, ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		test.NoError(d.t, <-done)
+	})
+	d.stop[ip] = stop
+	d.t.Cleanup(stop)
+}
+
+func newDeployment(t *testing.T, lasts time.Duration) *deployment {
+	d := &deployment{t: t, store: platformtest.NewStore(), stop: map[string]func(){}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(d.logs.String())
+		}
+	})
+	serve(t, "127.0.7.1:18169", d.store)
+	d.store.WriteOperator("config", []byte(testConfig))
+	for i := range 2 {
+		ip := fmt.Sprintf("127.0.7.%d", 20+i)
+		r := &platformtest.Runner{
+			ID: "i-" + ip, Service: "desk", Zone: "z1", Labels: []string{"a", "r1-" + ip}, CPU: 8000, MemoryMB: 8000,
+			Duration: func(string) (time.Duration, bool) { return lasts, false },
+		}
+		r.Reset()
+		d.runners = append(d.runners, r)
+		own := serve(t, net.JoinHostPort(ip, testRunnerPort), r)
+		d.begin(ip, (*PlatformNode).RunAgent)
+		must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+			return r.Report(t.Context(), net.JoinHostPort(ip, testReportPort), own, false)
+		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	d.begin("127.0.7.10", (*PlatformNode).RunEntry)
+	d.begin("127.0.7.11", (*PlatformNode).RunEntry)
+	for _, ip := range []string{"127.0.7.10", "127.0.7.11"} {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			response, err := http.Get("http://" + net.JoinHostPort(ip, testReadyPort) + "/ready")
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	return d
+}
+
+// ask sends a caller's request to the entry at ip.
+func (d *deployment) ask(ip, method, id, body string) (status int, answer string) {
+	request, err := http.NewRequestWithContext(d.t.Context(), method,
+		"http://"+net.JoinHostPort(ip, testFrontPort)+"/x/"+id, bytes.NewBufferString(body))
+	must.NoError(d.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Deadline-Ms", "3000")
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(d.t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	must.NoError(d.t, err)
+	return response.StatusCode, string(data)
+}
+
+func (d *deployment) waitFor(ip, id, state string) {
+	d.t.Helper()
+	must.Wait(d.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		_, answer := d.ask(ip, http.MethodGet, id, "")
+		var found struct {
+			State string `json:"state"`
+		}
+		return json.Unmarshal([]byte(answer), &found) == nil && found.State == state
+	}), wait.Timeout(15*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+const twoSteps = `{"spec":"s","steps":[{"count":4,"cpu":500,"memMb":100,"estimateMs":50},
+	{"count":2,"cpu":500,"memMb":100,"estimateMs":50,"after":[0]}]}`
+
+func TestPlatform_WholePath(t *testing.T) {
+	d := newDeployment(t, 50*time.Millisecond)
+	first, second := "00000000000000a1", "00000000000000a2"
+
+	status, _ := d.ask("127.0.7.10", http.MethodPost, first, twoSteps)
+	must.Eq(t, http.StatusOK, status)
+	status, _ = d.ask("127.0.7.11", http.MethodPost, first, twoSteps)
+	test.Eq(t, http.StatusOK, status, test.Sprint("the same job again, at another entry"))
+	d.waitFor("127.0.7.11", first, "completed")
+	for _, task := range []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.0.3", ".0.1.0", ".0.1.1"} {
+		test.Eq(t, 1, d.starts(first+task), test.Sprint(task))
+	}
+	status, _ = d.ask("127.0.7.10", http.MethodGet, "00000000000000ff", "")
+	test.Eq(t, http.StatusGone, status)
+	status, answer := d.ask("127.0.7.10", http.MethodGet, "", "")
+	test.Eq(t, http.StatusOK, status)
+	test.StrContains(t, answer, `"numWaiting":0`)
+
+	// A refusal of the store is one to the caller, who may come back.
+	d.store.SetFault(platformtest.Busy)
+	status, _ = d.ask("127.0.7.10", http.MethodPost, second, twoSteps)
+	test.Eq(t, http.StatusServiceUnavailable, status)
+	d.store.SetFault(platformtest.None)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		status, _ := d.ask("127.0.7.10", http.MethodPost, second, twoSteps)
+		return status == http.StatusOK
+	}), wait.Timeout(5*time.Second), wait.Gap(50*time.Millisecond)))
+	d.waitFor("127.0.7.10", second, "completed")
+}
+
+func (d *deployment) starts(task string) int {
+	n := 0
+	for _, r := range d.runners {
+		n += len(r.Starts(task))
+	}
+	return n
+}
+
+// A leader that stops hands over: what runs goes on, nothing is started again.
+func TestPlatform_LeaderStops(t *testing.T) {
+	d := newDeployment(t, 2*time.Second)
+	const id = "00000000000000b1"
+	status, _ := d.ask("127.0.7.10", http.MethodPost, id, twoSteps)
+	must.Eq(t, http.StatusOK, status)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return d.runners[0].Active()+d.runners[1].Active() == 4
+	}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	leader, other := "127.0.7.10", "127.0.7.11"
+	if !bytes.Contains([]byte(d.logs.String()), []byte(`"leader":"127.0.7.10:`)) {
+		leader, other = other, leader
+	}
+	go d.stop[leader]()
+	d.waitFor(other, id, "completed")
+	for _, task := range []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.0.3", ".0.1.0", ".0.1.1"} {
+		test.Eq(t, 1, d.starts(id+task), test.Sprint(task))
+	}
+}
+
+// A cancelled job stops running and is shown as cancelled by every entry.
+func TestPlatform_Cancel(t *testing.T) {
+	d := newDeployment(t, time.Minute)
+	const id = "00000000000000c1"
+	status, _ := d.ask("127.0.7.10", http.MethodPost, id, twoSteps)
+	must.Eq(t, http.StatusOK, status)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return d.runners[0].Active()+d.runners[1].Active() == 4
+	}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	status, _ = d.ask("127.0.7.11", http.MethodDelete, id, "")
+	must.Eq(t, http.StatusOK, status)
+	d.waitFor("127.0.7.10", id, "cancelled")
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return d.runners[0].Active()+d.runners[1].Active() == 0
+	}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+}
