--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,7 +49,7 @@
 	Statement []string `arg:"" optional:"" help:"A statement, such as: show upstreams. With none, statements are read from the prompt or from a pipe, one a line."`
 
 	Output    string        `short:"o" enum:"table,json" default:"table" help:"Form of the results: table or json."`
-	Operators string        `env:"BAMBOOWOOD_OPERATORS" default:"http://127.0.0.1:7481" placeholder:"URL" help:"Operators' address of an entry."`
+	Operators string        `env:"BAMBOOWOOD_OPERATORS" default:"http://127.0.0.1:7481" placeholder:"ADDRESS" help:"Operators' address of an entry: HOST:PORT or a URL."`
 	Token     string        `env:"BAMBOOWOOD_TOKEN" help:"Bearer token."`
 	TokenFile string        `type:"path" placeholder:"FILE" help:"File with the bearer token."`
 	CA        string        `name:"ca" type:"path" placeholder:"FILE" help:"PEM certificates that sign the entry's."`
@@ -129,7 +129,11 @@
 	if err != nil {
 		return s.usage(err)
 	}
-	s.client = client.New(s.flags.Operators, token, httpClient)
+	base, err := client.Address(s.flags.Operators)
+	if err != nil {
+		return s.usage(err)
+	}
+	s.client = client.New(base, token, httpClient)
 	text := strings.Join(s.flags.Statement, " ")
 	switch {
 	case s.flags.Complete:
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,23 @@
 	http  *http.Client
 }
 
+// Address returns the base URL of an entry's operators' listener, given as a URL or
+// as host:port, which means plain HTTP.
+func Address(text string) (string, error) {
+	const allowed = "want HOST:PORT, http://HOST:PORT or https://HOST:PORT"
+	if !strings.Contains(text, "://") {
+		if host, port, err := net.SplitHostPort(text); err != nil || host == "" || port == "" {
+			return "", fmt.Errorf("address of an entry %q: %s", text, allowed)
+		}
+		return "http://" + text, nil
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return "", fmt.Errorf("address of an entry %q: %s", text, allowed)
+	}
+	return text, nil
+}
+
 // New returns a Client of the entry at base, such as "http://127.0.0.1:7481".
 func New(base, token string, httpClient *http.Client) *Client {
 	return &Client{base: strings.TrimRight(base, "/"), token: token, http: httpClient}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/oklog/run"
 
+	"bamboowood/internal/logline"
 	"bamboowood/internal/netcount"
 	"bamboowood/internal/settings"
 	"bamboowood/internal/tlsconf"
@@ -28,14 +28,14 @@
 // idleTimeout bounds an idle connection.
 const idleTimeout = 2 * time.Minute
 
-// NewLogger returns a logger of JSON lines on standard error and makes it the
+// NewLogger returns a logger of JSON lines on standard output and makes it the
 // default of packages that are given none.
 func NewLogger(level string) (*log.Logger, error) {
 	l, err := log.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	handler := json.New(os.Stderr)
+	handler := logline.New(os.Stdout)
 	log.SetHandler(handler)
 	log.SetLevel(l)
 	return &log.Logger{Handler: handler, Level: l}, nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,6 +65,10 @@
 	// Accepted and Cancelled pass on what has just been stored.
 	Accepted(ctx context.Context, j *job.Job)
 	Cancelled(ctx context.Context, id string)
+	// Store and StoreCancel write through the leader, for an entry that the store
+	// refuses. Errors are those of the ledger.
+	Store(ctx context.Context, j *job.Job) error
+	StoreCancel(ctx context.Context, id string) error
 }
 
 const (
@@ -105,6 +109,11 @@
 	doubtful := false
 	for {
 		err := e.Ledger.Accept(ctx, j)
+		if err != nil {
+			count("relayed")
+			logger.WithError(err).Info("job not stored, asking the leader to store it")
+			err = worse(err, e.Leader.Store(ctx, j))
+		}
 		if err == nil {
 			count("accepted")
 			logger.WithField("took_ms", time.Since(began).Milliseconds()).Info("job accepted")
@@ -128,6 +137,15 @@
 	}
 }
 
+// worse returns nil if the second try succeeded, and otherwise the error that
+// promises less.
+func worse(first, second error) error {
+	if second == nil || !errors.Is(second, store.ErrRefused) {
+		return second
+	}
+	return first
+}
+
 // Cancel implements Intake.
 func (e *Entry) Cancel(ctx context.Context, id string) error {
 	if _, err := e.Status(ctx, id); err != nil {
@@ -135,6 +153,9 @@
 	}
 	for {
 		err := e.Ledger.Cancel(ctx, id)
+		if err != nil {
+			err = worse(err, e.Leader.StoreCancel(ctx, id))
+		}
 		if err == nil {
 			count("cancelled")
 			e.Logger.WithField("job", id).Info("job cancelled")
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -21,11 +21,14 @@
 // sent its last successful renewal, and no other entry leads before the renewal
 // has stood still for takeoverAfter.
 const (
-	renewInterval = 600 * time.Millisecond
-	startLease    = 2500 * time.Millisecond
-	takeoverAfter = 3 * time.Second
+	renewInterval = 400 * time.Millisecond
+	startLease    = 1800 * time.Millisecond
+	takeoverAfter = 2200 * time.Millisecond
+	// renewTimeout bounds one renewal: on a bad day the store takes 60 times its
+	// 7 ms.
+	renewTimeout = time.Second
 	// watchInterval is how often the other entries look at the renewal.
-	watchInterval = 700 * time.Millisecond
+	watchInterval = 300 * time.Millisecond
 	// grantLease is how long after its last renewal a leader extends the leases of
 	// what runs, so that work outlives an outage of the store: this and the lease
 	// together. A later leader waits as long for agents that it cannot reach.
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -183,6 +183,7 @@
 			continue
 		}
 		k.taken.sequence = e.Sequence
+		countEnd(end.Reason)
 		k.reign.planner.Ended(now, k.id, end)
 	}
 }
@@ -233,6 +234,7 @@
 			r.opts.Logger.WithError(err).WithField("agent", k.id).Error("refusal of a run left out")
 			continue
 		}
+		countRefusal(refusal.Reason)
 		r.planner.Refused(now, k.id, run, planner.RefusalReason(refusal.Reason))
 	}
 	if len(m.Active) > 0 {
--- /dev/null
+++ b/internal/leader/metrics.go
@@ -0,0 +1,40 @@
+package leader
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/planner"
+)
+
+// Metrics of the entry that leads; the others have them at zero.
+var (
+	startsTotal   = metrics.NewCounter("bamboowood_starts_ordered_total")
+	stopsTotal    = metrics.NewCounter("bamboowood_stops_ordered_total")
+	pacesTotal    = metrics.NewCounter("bamboowood_paces_ordered_total")
+	takeovers     = metrics.NewCounter("bamboowood_terms_led_total")
+	renewFailures = metrics.NewCounter("bamboowood_term_renewals_failed_total")
+	commitSeconds = metrics.NewHistogram("bamboowood_ledger_commit_seconds")
+	planSeconds   = metrics.NewHistogram("bamboowood_plan_seconds")
+	jobSeconds    = metrics.NewHistogram("bamboowood_job_seconds")
+)
+
+func countOrders(o planner.Orders) {
+	startsTotal.Add(len(o.Starts))
+	stopsTotal.Add(len(o.Stops))
+	pacesTotal.Add(len(o.Paces))
+}
+
+func countEnd(reason job.EndReason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_ended_total{reason=%q}", string(reason))).Inc()
+}
+
+func countRefusal(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_refused_total{reason=%q}", reason)).Inc()
+}
+
+func countJobEnd(state job.State) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_jobs_ended_total{state=%q}", string(state))).Inc()
+}
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -10,6 +10,7 @@
 
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
+	"bamboowood/internal/store"
 	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
 )
@@ -17,6 +18,9 @@
 // queryTimeout bounds a query of the leader; the ledger is the second way.
 const queryTimeout = 400 * time.Millisecond
 
+// relayTimeout bounds a write that the leader does for another entry.
+const relayTimeout = 900 * time.Millisecond
+
 // Directory asks the entry that leads, which may be this one.
 type Directory struct {
 	Leader *Leader
@@ -73,6 +77,47 @@
 	}
 }
 
+// Store has the leader store a job, for an entry that the store refuses. An error
+// that wraps store.ErrRefused says that the job is not stored and never will be by
+// this call.
+func (d *Directory) Store(ctx context.Context, j *job.Job) error {
+	value, err := ledger.EncodeJob(j)
+	if err != nil {
+		return fmt.Errorf("%w: %w", store.ErrRefused, err)
+	}
+	return d.relay(ctx, &wirepb.Query{Job: j.ID, Accepted: value, Relay: true})
+}
+
+// StoreCancel has the leader store a cancel.
+func (d *Directory) StoreCancel(ctx context.Context, id string) error {
+	return d.relay(ctx, &wirepb.Query{Job: id, Cancelled: true, Relay: true})
+}
+
+func (d *Directory) relay(ctx context.Context, q *wirepb.Query) error {
+	address := d.Leader.Address()
+	if address == "" || address == d.Leader.opts.Address {
+		return fmt.Errorf("%w: no other entry leads", store.ErrRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	session, err := d.connect(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", store.ErrRefused, err)
+	}
+	answer, err := exchange(ctx, session, q)
+	if err != nil {
+		d.drop(session)
+		return fmt.Errorf("relay to the leader: %w", err)
+	}
+	switch answer.Relay {
+	case wirepb.QueryAnswer_RELAY_STORED:
+		return nil
+	case wirepb.QueryAnswer_RELAY_REFUSED:
+		return fmt.Errorf("%w: by the leader", store.ErrRefused)
+	}
+	return errors.New("leader does not know whether it was stored")
+}
+
 // ask returns nil if the leader cannot be asked.
 func (d *Directory) ask(ctx context.Context, q *wirepb.Query) *wirepb.QueryAnswer {
 	address := d.Leader.Address()
@@ -197,13 +242,28 @@
 			}
 			return
 		}
-		go l.answer(stream)
+		go l.answer(ctx, stream)
+	}
+}
+
+// relayed does a write for another entry.
+func (l *Leader) relayed(ctx context.Context, id string, write func(context.Context) error) wirepb.QueryAnswer_Relay {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	err := write(ctx)
+	l.opts.Logger.WithError(err).WithField("job", id).Info("write relayed for another entry")
+	switch {
+	case err == nil:
+		return wirepb.QueryAnswer_RELAY_STORED
+	case errors.Is(err, store.ErrRefused):
+		return wirepb.QueryAnswer_RELAY_REFUSED
 	}
+	return wirepb.QueryAnswer_RELAY_UNKNOWN
 }
 
-func (l *Leader) answer(stream wire.Stream) {
+func (l *Leader) answer(ctx context.Context, stream wire.Stream) {
 	defer func() { _ = stream.Close() }()
-	if err := stream.SetDeadline(time.Now().Add(queryTimeout)); err != nil {
+	if err := stream.SetDeadline(time.Now().Add(relayTimeout)); err != nil {
 		return
 	}
 	var q wirepb.Query
@@ -219,9 +279,19 @@
 			l.opts.Logger.WithError(err).Error("news of a job left out")
 			return
 		}
-		answer.Leading = l.accepted(j)
+		if q.Relay {
+			answer.Relay = l.relayed(ctx, q.Job, func(ctx context.Context) error { return l.opts.Ledger.Accept(ctx, j) })
+		}
+		if answer.Relay <= wirepb.QueryAnswer_RELAY_STORED {
+			answer.Leading = l.accepted(j)
+		}
 	case q.Cancelled:
-		answer.Leading = l.cancelled(q.Job)
+		if q.Relay {
+			answer.Relay = l.relayed(ctx, q.Job, func(ctx context.Context) error { return l.opts.Ledger.Cancel(ctx, q.Job) })
+		}
+		if answer.Relay <= wirepb.QueryAnswer_RELAY_STORED {
+			answer.Leading = l.cancelled(q.Job)
+		}
 	case q.Job != "":
 		var state job.State
 		state, answer.Known, answer.Leading = l.Status(q.Job)
--- a/internal/leader/reign.go
+++ b/internal/leader/reign.go
@@ -88,6 +88,7 @@
 	logger.WithFields(log.Fields{
 		"jobs": len(contents.Jobs), "agents": len(agents), "took": (l.opts.Now() - began).String(),
 	}).Info("leading")
+	takeovers.Inc()
 	l.reign.Store(r)
 	defer l.reign.Store(nil)
 	group.Go(r.renewLoop)
@@ -162,13 +163,14 @@
 		case <-ticker.C:
 		}
 		sent := r.opts.Now()
-		ctx, cancel := context.WithTimeout(r.ctx, renewInterval)
+		ctx, cancel := context.WithTimeout(r.ctx, renewTimeout)
 		err := r.hold.Renew(ctx)
 		cancel()
 		switch {
 		case errors.Is(err, ledger.ErrDeposed):
 			return err
 		case err != nil:
+			renewFailures.Inc()
 			r.opts.Logger.WithError(err).Warn("term not renewed")
 		default:
 			r.mu.Lock()
@@ -198,7 +200,10 @@
 		}
 		last = now
 		r.planner.SetSite(r.opts.Site())
+		began := time.Now()
 		orders := r.planner.Plan(r.instant(), now < r.renewed+startLease)
+		planSeconds.UpdateDuration(began)
+		countOrders(orders)
 		for _, o := range orders.Stops {
 			if k := r.links[o.Agent]; k != nil {
 				k.stop(o)
@@ -274,7 +279,9 @@
 	pending, _ := r.planner.Pending()
 	marks := r.marks()
 	r.mu.Unlock()
+	began := time.Now()
 	err := r.hold.Commit(r.ctx, changes)
+	commitSeconds.UpdateDuration(began)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range changes {
@@ -282,9 +289,11 @@
 			r.planner.NotCommitted(c)
 			continue
 		}
-		r.planner.Committed(c)
+		age := r.planner.Committed(r.opts.Now(), c)
 		if c.Progress.State.Terminal() {
-			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State)}).Info("job ended")
+			countJobEnd(c.Progress.State)
+			jobSeconds.Update(age.Seconds())
+			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
 		}
 	}
 	if err == nil && !pending {
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -312,6 +312,9 @@
 	}
 	if r != nil {
 		p.dropRun(now, r)
+		if r.stalled {
+			r.task.avoid = a
+		}
 	}
 	s, t := p.find(e.Run.Task)
 	if s == nil || s.job.state.Terminal() {
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -26,9 +26,12 @@
 	stallTime = 1500 * time.Millisecond
 	// fillerStallTime allows for fillers that get no CPU for a while.
 	fillerStallTime = 4 * time.Second
-	// continuousRestartMargin is left between a stop and the end of a draining
-	// runner.
+	// drainMargin is left between the expected end of a run and that of its
+	// draining runner.
 	drainMargin = 500 * time.Millisecond
+	// telling is the progress, in percent, from which on a run's pace so far tells
+	// more than its estimate.
+	telling = 5
 )
 
 // health is what the planner has seen of a runner's work.
@@ -77,7 +80,7 @@
 	}
 }
 
-// ejectedAgents says which share of the live agents is ejected.
+// ejectionAllowed says whether few enough of the live agents are ejected.
 func (p *Planner) ejectionAllowed(now time.Duration) bool {
 	alive, ejected := 0, 0
 	for _, a := range p.order {
@@ -134,7 +137,7 @@
 	}
 	estimate := r.step.step.Estimate
 	left := estimate - estimate*time.Duration(r.percent)/100
-	if r.percent > 0 {
+	if r.percent >= telling {
 		// The pace so far tells more than the caller's estimate.
 		left = (now - r.confirmedAt) * time.Duration(100-r.percent) / time.Duration(r.percent)
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/site"
 )
 
 // fixture drives a planner by hand.
@@ -72,7 +73,7 @@
 func (f *fixture) commit() map[string]*Progress {
 	stored := map[string]*Progress{}
 	for _, c := range f.TakeChanges(1000) {
-		f.Committed(c)
+		f.Committed(f.now, c)
 		stored[c.Job] = c.Progress
 	}
 	return stored
@@ -224,3 +225,143 @@
 	f.agent("a")
 	test.False(t, f.Gone("a"))
 }
+
+// A gang starts whole or not at all, with one run number, and ends as a whole.
+func TestPlanner_Gang(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	gang := step(20)
+	gang.Gang = true
+	j := testJob(1, gang, step(1, 0))
+	f.add(j, nil, false)
+	must.Len(t, 0, f.plan().Starts, must.Sprint("20 cores are asked for, 16 are there"))
+	f.agent("b")
+	starts := f.plan().Starts
+	must.Len(t, 20, starts)
+	for _, s := range starts {
+		test.Eq(t, starts[0].Run.Number, s.Run.Number)
+	}
+	f.end(starts[0].Agent, starts[0].Run, job.EndFailed)
+	for _, s := range starts[1:10] {
+		f.end(s.Agent, s.Run, job.EndBroken)
+	}
+	must.Len(t, 0, f.plan().Starts, must.Sprint("half of the members are still alive"))
+	for _, s := range starts[10:] {
+		f.end(s.Agent, s.Run, job.EndBroken)
+	}
+	f.now += time.Second
+	again := f.plan().Starts
+	must.Len(t, 20, again)
+	test.Greater(t, starts[0].Run.Number, again[0].Run.Number)
+	f.end(again[3].Agent, again[3].Run, job.EndDone)
+	next := f.plan().Starts
+	must.Len(t, 1, next, must.Sprint("one end stands for all members"))
+	test.Eq(t, 1, next[0].Run.Task.Step)
+}
+
+// Occurrences start when they are due, and may overlap.
+func TestPlanner_Occurrences(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(1))
+	j.Occurrences, j.Interval, j.Start = 3, 10*time.Second, f.instant().Wall.Add(5*time.Second)
+	f.add(j, nil, false)
+	must.Len(t, 0, f.plan().Starts)
+	for k := range 3 {
+		f.now += 5 * time.Second
+		starts := f.plan().Starts
+		must.Len(t, 1, starts)
+		test.Eq(t, k, starts[0].Run.Task.Occurrence)
+		must.Len(t, 0, f.plan().Starts)
+		f.end("a", starts[0].Run, job.EndDone)
+		f.now += 5 * time.Second
+	}
+	f.commit()
+	test.Eq(t, job.Completed, f.state(j))
+}
+
+// A runner on which the jobs of several callers fail in a row gets no more work
+// for a while; the failed tasks go elsewhere.
+func TestPattern_RunnerFailsAll(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("bad")
+	for n := range ejectAfter {
+		f.add(testJob(n, step(1)), nil, false)
+	}
+	for _, s := range f.plan().Starts {
+		f.end("bad", s.Run, job.EndFailed)
+	}
+	must.True(t, f.agents["bad"].health.ejected(f.now))
+	f.agent("good")
+	starts := f.plan().Starts
+	must.Len(t, ejectAfter, starts)
+	for _, s := range starts {
+		test.Eq(t, "good", s.Agent)
+	}
+}
+
+// A task that makes no progress is stopped and started on another runner.
+func TestPattern_TaskStandsStill(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	run := f.plan().Starts[0].Run
+	f.Reported(f.now, "a", []job.Activity{{Run: run, Percent: 10}})
+	f.agent("b")
+	f.now += stallTime
+	must.Len(t, 0, f.plan().Stops)
+	f.now += time.Millisecond
+	must.Len(t, 1, f.plan().Stops)
+	f.end("a", run, job.EndStopped)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, "b", starts[0].Agent)
+}
+
+// Nothing starts in a drained zone or on a runner that leaves; tasks that would
+// outlast the runner are stopped.
+func TestPattern_ZoneDrainedRunnerLeaves(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	long := step(1)
+	long.Estimate = time.Minute
+	f.add(testJob(1, long), nil, false)
+	run := f.plan().Starts[0].Run
+	f.Reported(f.now, "a", []job.Activity{{Run: run, Percent: 1}})
+	leaving := testRunner("a")
+	leaving.Draining, leaving.Remaining = true, 2*time.Second
+	f.RunnerChanged(f.now, "a", leaving)
+	f.add(testJob(2, step(1)), nil, false)
+	orders := f.plan()
+	test.Len(t, 0, orders.Starts)
+	test.Len(t, 1, orders.Stops)
+	f.SetSite(&site.State{Drained: map[string]bool{"z1": true}})
+	f.agent("b")
+	test.Len(t, 0, f.plan().Starts)
+	f.SetSite(&site.State{})
+	test.Len(t, 1, f.plan().Starts)
+}
+
+// A job whose result is worth nothing any more stands back, but never still.
+func TestPattern_HopelessJobStandsBack(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	old, young := testJob(1, step(16)), testJob(2, step(16))
+	f.add(old, nil, false)
+	f.now += time.Minute
+	f.jobs[old.ID].idleSince = f.now
+	f.add(young, nil, false)
+	for _, s := range f.plan().Starts {
+		test.Eq(t, young.ID, s.Run.Task.Job)
+	}
+	f = newFixture(t, 1)
+	f.agent("a")
+	f.add(old, nil, false)
+	f.now += time.Minute
+	f.add(young, nil, false)
+	counts := map[string]int{}
+	for _, s := range f.plan().Starts {
+		counts[s.Run.Task.Job]++
+	}
+	test.Eq(t, map[string]int{old.ID: 1, young.ID: 15}, counts)
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"bamboowood/internal/job"
 )
@@ -142,11 +143,14 @@
 	return len(p.dirty) > 0, false
 }
 
-// Committed says that the ledger has a change.
-func (p *Planner) Committed(c Change) {
-	if js := p.jobs[c.Job]; js != nil {
-		js.durable = c.Progress.State
+// Committed says that the ledger has a change, and returns the age of its job.
+func (p *Planner) Committed(now time.Duration, c Change) time.Duration {
+	js := p.jobs[c.Job]
+	if js == nil {
+		return 0
 	}
+	js.durable = c.Progress.State
+	return now - js.accepted
 }
 
 // NotCommitted returns a change that the ledger did not take.
