planner: a serving task over its target stops fillers also if its sibling is over it

Change: the 2.2 s rule (2.4 before) goes first; figures every 0.3 s; paces are logged with what decided them; placement avoids what is predicted beyond 0.7 of a target.

--- a/internal/leader/reign.go
+++ b/internal/leader/reign.go
@@ -213,6 +213,10 @@
 			if k := r.links[o.Agent]; k != nil {
 				k.pace(o)
 			}
+			r.opts.Logger.WithFields(log.Fields{
+				"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent, "percent": o.Percent,
+				"over_ms": o.Over.Milliseconds(), "quiet_ratio": o.Quiet,
+			}).Info("pace ordered")
 		}
 		for _, o := range orders.Starts {
 			r.links[o.Agent].start(o)
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -88,7 +88,7 @@
 }
 
 // A serving task over its target for long stops the fillers beside it, whatever
-// has been learned of them, unless its undisturbed sibling is over it as well.
+// has been learned of them.
 func TestPattern_ServingTaskOverTargetForLong(t *testing.T) {
 	f := newFixture(t, 1)
 	disturbed, _, fill := f.beside("light")
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -21,7 +21,7 @@
 	hopelessRatio = 1.15
 	// overTime over its target on end stops the fillers beside a task, whatever
 	// has been learned. The users allow 4 s (harmMs), of which reports take one.
-	overTime = 2400 * time.Millisecond
+	overTime = 2200 * time.Millisecond
 	// paceInterval bounds how often an agent's paces change; figures cover half a
 	// second.
 	paceInterval = 250 * time.Millisecond
@@ -34,6 +34,10 @@
 	Agent   string
 	Run     job.Run
 	Percent int
+	// Over is how long a serving task beside it has been over its target, Quiet the
+	// highest undisturbed ratio of tail latency to target there.
+	Over  time.Duration
+	Quiet float64
 }
 
 // paces returns the changed paces of fillers beside serving tasks.
@@ -44,14 +48,15 @@
 			continue
 		}
 		a.pacedAt = now
-		for _, r := range p.wantedPaces(now, a) {
+		wanted, over, quiet := p.wantedPaces(now, a)
+		for _, r := range wanted {
 			change := r.run.pace - r.percent
 			if change == 0 || max(change, -change) < paceStep && r.percent != fullPace && r.percent != 0 {
 				continue
 			}
 			r.run.pace = r.percent
 			a.fillersChanged = now
-			paces = append(paces, Pace{Agent: a.id, Run: r.run.id, Percent: r.percent})
+			paces = append(paces, Pace{Agent: a.id, Run: r.run.id, Percent: r.percent, Over: over, Quiet: quiet})
 		}
 	}
 	return paces
@@ -64,27 +69,29 @@
 
 // wantedPaces slows down the fillers that press most, each serving step in turn,
 // until all are within the goal.
-func (p *Planner) wantedPaces(now time.Duration, a *agent) []wantedPace {
-	var wanted []wantedPace
+func (p *Planner) wantedPaces(now time.Duration, a *agent) (wanted []wantedPace, over time.Duration, worst float64) {
 	for _, r := range a.runs {
 		if r.step.step.Filler && r.phase == running {
 			wanted = append(wanted, wantedPace{run: r, percent: fullPace})
 		}
 	}
 	if len(wanted) == 0 {
-		return nil
+		return nil, 0, 0
 	}
 	for _, s := range a.servingSteps() {
 		quiet, measured := p.interference.quiet(now, s.job.job.ID)
+		worst = max(worst, quiet)
+		overFor := a.overFor(now, s)
+		over = max(over, overFor)
 		switch {
-		case measured && quiet > hopelessRatio:
-		case a.overFor(now, s) > overTime:
+		case overFor > overTime:
 			p.limit(a, s.step.Image, wanted, 0)
+		case measured && quiet > hopelessRatio:
 		default:
 			p.limit(a, s.step.Image, wanted, max(paceGoal/quiet-1, 0))
 		}
 	}
-	return wanted
+	return wanted, over, worst
 }
 
 // overFor is how long a run of the step has been over its latency target.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -206,7 +206,7 @@
 	// loadWeight spreads work over runners.
 	loadWeight = 0.3
 	// besideServingWeight keeps fillers away from tasks with a latency target.
-	besideServingWeight = 0.2
+	besideServingWeight = 0.6
 	// disturbanceWeight keeps fillers away from tasks that would come near their
 	// target: they would be slowed down there.
 	disturbanceWeight = 4
@@ -306,7 +306,7 @@
 
 // disturbanceCost is what a predicted ratio of tail latency to target costs.
 func disturbanceCost(ratio float64) float64 {
-	return besideServingWeight + disturbanceWeight*max(ratio-paceGoal, 0)
+	return besideServingWeight + disturbanceWeight*max(ratio-0.7, 0)
 }
 
 // load is the share of the runner's capacity that is asked for with the task.
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -15,7 +15,7 @@
 const (
 	// holdWait is how long a call waits for an end. The runner's figures cover
 	// half a second.
-	holdWait = 500 * time.Millisecond
+	holdWait = 300 * time.Millisecond
 	// holdTimeout is added to the wait for the way there and back.
 	holdTimeout = 400 * time.Millisecond
 	// unstoredInterval is the pause between calls while ends are not stored: the
@@ -24,7 +24,7 @@
 	// settleInterval is the same while the fate of a run is open.
 	settleInterval = 10 * time.Millisecond
 	// reportInterval bounds how often the progress of one run is passed on.
-	reportInterval = 450 * time.Millisecond
+	reportInterval = 280 * time.Millisecond
 	// failurePause follows a call without an answer.
 	failurePause = 100 * time.Millisecond
 	// idleWait is the pause when there is no runner.
