dispatch: admission to the queue is decided under the queue's lock

Ruled out: estimates (reference 20 ms throughout) and the drain's interval (0). Change: the decision is taken again under the lock, where the length is exact.

--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -53,8 +53,7 @@
 			return grant{}, verdict.New(verdict.NotRun, reason, nil)
 		}
 	}
-	c.admitted = true
-	return s.wait(ctx, c)
+	return s.wait(ctx, c, p, q)
 }
 
 // mayQueue decides whether one more request may wait for a slot, and if not
@@ -91,10 +90,20 @@
 	}
 }
 
-// wait puts the call into the queue until it is granted an upstream.
-func (s *service) wait(ctx context.Context, c *call) (grant, *verdict.Error) {
+// wait puts the call into the queue until it is granted an upstream. Whether it
+// may wait is decided again under the lock: many calls at once may have seen the
+// same short queue.
+func (s *service) wait(ctx context.Context, c *call, p *routing.Picker, q routing.Query) (grant, *verdict.Error) {
 	w := &waiter{deadline: c.deadline, avoid: c.avoid, granted: make(chan grant, 1)}
 	s.mu.Lock()
+	if !c.admitted {
+		q.Queued = int(s.queued.Load())
+		if reason, ok := s.mayQueue(p, q); !ok {
+			s.mu.Unlock()
+			return grant{}, verdict.New(verdict.NotRun, reason, nil)
+		}
+		c.admitted = true
+	}
 	s.queue.add(w)
 	s.queued.Add(1)
 	s.pumpLocked()
