--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -112,7 +112,7 @@
 		Site: sites.State, Now: boottime.Now, Hold: n.hold(),
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.Early, KeepEnded: n.node.Bounds.Keep,
-			RemoteFactor: n.node.Bounds.RemoteFactor, StopTime: n.node.Bounds.Stop,
+			RemoteFactor: n.node.Bounds.RemoteFactor,
 		},
 	})
 	in := &intake.Entry{
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -82,8 +82,7 @@
 		RunnerAddress: net.JoinHostPort(ip, testRunnerPort),
 		StoreAddress:  "127.0.7.1:18169", MemoryBytes: 100 << 20,
 		Bounds: platform.Bounds{
-			Hold: 6 * time.Second, Stop: 400 * time.Millisecond, Grace: 4 * time.Second,
-			Keep: time.Minute, RemoteFactor: 1.5,
+			Hold: 6 * time.Second, Grace: 4 * time.Second, Keep: time.Minute, RemoteFactor: 1.5,
 		},
 	}
 }
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -61,8 +61,8 @@
 	opts Options
 	// term is the latest one that is known.
 	term atomic.Pointer[ledger.Term]
-	// reign is set while this process leads and knows all jobs.
-	reign atomic.Pointer[reign]
+	// leadership is set while this process leads and knows all jobs.
+	leadership atomic.Pointer[leadership]
 }
 
 // New returns a leader; Run has to be called.
@@ -76,7 +76,7 @@
 func (l *Leader) Address() string { return l.term.Load().Leader }
 
 // Leading says whether this process leads.
-func (l *Leader) Leading() bool { return l.reign.Load() != nil }
+func (l *Leader) Leading() bool { return l.leadership.Load() != nil }
 
 // Run competes and leads until ctx ends; then it resigns.
 func (l *Leader) Run(ctx context.Context) error {
@@ -112,15 +112,15 @@
 			return err
 		}
 	}
-	hold, err := l.opts.Ledger.Lead(ctx, term, l.opts.Address, l.opts.Process)
+	held, err := l.opts.Ledger.Lead(ctx, term, l.opts.Address, l.opts.Process)
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	l.observe(hold.Term)
-	return l.lead(ctx, hold)
+	l.observe(held.Term)
+	return l.lead(ctx, held)
 }
 
 func (l *Leader) observe(term ledger.Term) {
--- /dev/null
+++ b/internal/leader/commit.go
@@ -0,0 +1,156 @@
+package leader
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/ledger"
+)
+
+func (r *leadership) commitLoop() error {
+	ticker := time.NewTicker(commitInterval)
+	defer ticker.Stop()
+	var last, tidied time.Duration
+	for {
+		select {
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		case <-r.commit:
+		case <-ticker.C:
+		}
+		if now := r.opts.Now(); now-tidied > tidyInterval {
+			tidied = now
+			if err := r.tidy(); errors.Is(err, ledger.ErrDeposed) {
+				return err
+			} else if err != nil && r.ctx.Err() == nil {
+				r.opts.Logger.WithError(err).Warn("ledger not tidied")
+			}
+		}
+		if err := r.removeAgents(); errors.Is(err, ledger.ErrDeposed) {
+			return err
+		} else if err != nil && r.ctx.Err() == nil {
+			r.opts.Logger.WithError(err).Warn("agents not removed")
+			pause(r.ctx, retryPause)
+		}
+		r.mu.Lock()
+		pending, urgent := r.planner.Pending()
+		r.mu.Unlock()
+		now := r.opts.Now()
+		if !pending {
+			r.ackEnds()
+			continue
+		}
+		if !urgent && now-last < commitInterval {
+			continue
+		}
+		last = now
+		if err := r.commitOnce(); err != nil {
+			if errors.Is(err, ledger.ErrDeposed) {
+				return err
+			}
+			r.opts.Logger.WithError(err).Warn("ends not stored")
+			pause(r.ctx, retryPause)
+		}
+	}
+}
+
+// commitOnce stores changes, and tells agents which ends are stored if those were
+// all.
+func (r *leadership) commitOnce() error {
+	r.mu.Lock()
+	changes := r.planner.TakeChanges(ledger.MaxCommit)
+	pending, _ := r.planner.Pending()
+	marks := r.marks()
+	r.mu.Unlock()
+	began := time.Now()
+	err := r.term.Commit(r.ctx, changes)
+	commitSeconds.UpdateDuration(began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range changes {
+		if err != nil {
+			r.planner.NotCommitted(c)
+			continue
+		}
+		age := r.planner.Committed(r.opts.Now(), c)
+		if c.Progress.State.Terminal() {
+			countJobEnd(c.Progress.State)
+			jobSeconds.Update(age.Seconds())
+			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
+		}
+	}
+	if err == nil && !pending {
+		r.sendMarks(marks)
+	}
+	return err
+}
+
+// marks returns the last end that was taken from each agent.
+func (r *leadership) marks() map[*link]endMark {
+	marks := make(map[*link]endMark, len(r.links))
+	for _, k := range r.links {
+		marks[k] = k.taken
+	}
+	return marks
+}
+
+func (r *leadership) sendMarks(marks map[*link]endMark) {
+	for k, m := range marks {
+		k.ackEnds(m)
+	}
+}
+
+// ackEnds acknowledges ends that changed nothing.
+func (r *leadership) ackEnds() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if pending, _ := r.planner.Pending(); !pending {
+		r.sendMarks(r.marks())
+	}
+}
+
+// tidy removes jobs that ended long ago, and agents on which nothing can be alive.
+func (r *leadership) tidy() error {
+	r.mu.Lock()
+	ids := r.planner.Forget(r.opts.Now())
+	stats := r.planner.Stats()
+	jobs := r.planner.Jobs()
+	loads := r.planner.Loads(r.opts.Now())
+	r.mu.Unlock()
+	r.opts.Logger.WithFields(log.Fields{
+		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
+		"lapses": stats.Lapses, "failures": stats.Failures, "refusals": stats.Refusals,
+	}).Info("planner")
+	for _, a := range loads {
+		r.opts.Logger.WithFields(log.Fields{
+			"agent": a.ID, "state": a.State, "runs": a.Runs, "cpu": a.Used.CPU, "cpu_of": a.Capacity.CPU,
+			"memory_mb": a.Used.MemoryMB, "memory_mb_of": a.Capacity.MemoryMB, "filler_cpu": a.FillerCPU,
+			"filler_cpu_paced": a.PacedCPU, "serving": a.Serving, "draining": a.Draining, "ejected": a.Ejected,
+			"faults": a.RecentFaults,
+		}).Info("agent load")
+	}
+	return r.term.Forget(r.ctx, ids)
+}
+
+// removeAgents removes the registrations of agents on which nothing is alive, so
+// that a later leader need not wait for them. Those that return register again.
+func (r *leadership) removeAgents() error {
+	r.mu.Lock()
+	r.away = append(r.away, r.planner.TakeGone()...)
+	r.away = slices.DeleteFunc(r.away, func(id string) bool { return !r.planner.Gone(id) })
+	away := r.away
+	r.mu.Unlock()
+	if len(away) == 0 {
+		return nil
+	}
+	if err := r.term.RemoveAgents(r.ctx, away); err != nil {
+		return err
+	}
+	r.away = nil
+	r.opts.Logger.WithField("agents", strings.Join(away, ",")).Info("agents removed")
+	return nil
+}
--- /dev/null
+++ b/internal/leader/leadership.go
@@ -0,0 +1,270 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
+)
+
+const (
+	// planInterval bounds the time between two plans without an event.
+	planInterval = 50 * time.Millisecond
+	// commitInterval gathers ends into one transaction; the end of a job does not
+	// wait.
+	commitInterval = 40 * time.Millisecond
+	// tidyInterval is how often jobs that ended long ago are removed.
+	tidyInterval = 5 * time.Second
+	// wakeGap between two plans means that the process was suspended; another
+	// entry may lead by now.
+	wakeGap = 700 * time.Millisecond
+	// resignTimeout bounds giving up the term when the process stops.
+	resignTimeout = 800 * time.Millisecond
+)
+
+// leadership is a term that this process leads.
+type leadership struct {
+	opts Options
+	term *ledger.HeldTerm
+	ctx  context.Context
+
+	mu      sync.Mutex
+	planner *planner.Planner
+	links   map[string]*link
+	// renewed is when the last successful renewal was sent.
+	renewed time.Duration
+
+	// away has the agents to be removed; only the commit loop uses it.
+	away []string
+
+	plan   chan struct{}
+	commit chan struct{}
+	renew  chan struct{}
+	group  *errgroup.Group
+}
+
+func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm) error {
+	began := l.opts.Now()
+	logger := l.opts.Logger.WithField("term", term.Term.Number)
+	contents, err := term.Load(ctx)
+	for err != nil && ctx.Err() == nil {
+		logger.WithError(err).Warn("ledger cannot be read")
+		pause(ctx, retryPause)
+		contents, err = term.Load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	agents, agentsVersion, err := l.opts.Ledger.Agents(ctx)
+	if err != nil {
+		return err
+	}
+	opts := l.opts
+	opts.Planner.Term = term.Term.Number
+	opts.Logger = logger
+	group, groupCtx := errgroup.WithContext(ctx)
+	r := &leadership{
+		opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
+		renewed: began,
+		plan:    make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
+		group: group,
+	}
+	r.restore(contents)
+	for id, address := range agents {
+		r.planner.AgentKnown(id, began+grantLease+opts.Hold+leaseMargin)
+		r.addLink(id, address)
+	}
+	logger.WithFields(log.Fields{
+		"jobs": len(contents.Jobs), "agents": len(agents), "took": (l.opts.Now() - began).String(),
+	}).Info("leading")
+	takeovers.Inc()
+	l.leadership.Store(r)
+	defer l.leadership.Store(nil)
+	group.Go(r.renewLoop)
+	group.Go(r.planLoop)
+	group.Go(r.commitLoop)
+	group.Go(func() error { return r.followJobs(contents.Version) })
+	group.Go(func() error { return r.followCancels(contents.Version) })
+	group.Go(func() error { return r.followAgents(agentsVersion) })
+	err = group.Wait()
+	logger.WithError(err).Info("leading no more")
+	if ctx.Err() != nil {
+		l.resign(term, logger)
+	}
+	if errors.Is(err, ledger.ErrDeposed) {
+		return nil
+	}
+	return err
+}
+
+func (l *Leader) resign(term *ledger.HeldTerm, logger log.Interface) {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if err := term.Resign(ctx); err != nil {
+		logger.WithError(err).Warn("term not given up")
+	}
+}
+
+func (r *leadership) instant() planner.Instant {
+	return planner.Instant{Mono: r.opts.Now(), Wall: time.Now()}
+}
+
+// restore passes the ledger's contents to the planner.
+func (r *leadership) restore(c *ledger.Contents) {
+	now := r.instant()
+	for _, j := range c.Jobs {
+		r.planner.Add(now, j, c.Progress[j.ID], true)
+	}
+	for _, id := range c.Cancels {
+		r.planner.Cancel(now.Mono, id)
+	}
+	r.logUnreadable(c)
+}
+
+func (r *leadership) logUnreadable(c *ledger.Contents) {
+	for _, err := range c.Unreadable {
+		r.opts.Logger.WithError(err).Error("row of the ledger left out")
+	}
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// changed makes the loops look at what an event has changed. It is called with
+// the lock held.
+func (r *leadership) changed() {
+	kick(r.plan)
+	kick(r.commit)
+}
+
+func (r *leadership) renewLoop() error {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		case <-r.renew:
+		case <-ticker.C:
+		}
+		sent := r.opts.Now()
+		ctx, cancel := context.WithTimeout(r.ctx, renewTimeout)
+		err := r.term.Renew(ctx)
+		cancel()
+		switch {
+		case errors.Is(err, ledger.ErrDeposed):
+			return err
+		case err != nil:
+			renewFailures.Inc()
+			r.opts.Logger.WithError(err).Warn("term not renewed")
+		default:
+			r.mu.Lock()
+			r.renewed = max(r.renewed, sent)
+			r.mu.Unlock()
+		}
+	}
+}
+
+func (r *leadership) planLoop() error {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	last := r.opts.Now()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		case <-r.plan:
+		case <-ticker.C:
+		}
+		now := r.opts.Now()
+		r.mu.Lock()
+		if now-last > wakeGap {
+			r.opts.Logger.WithField("gap", (now - last).String()).Warn("process stood still; renewing before any start")
+			r.renewed = min(r.renewed, now-startLease)
+			kick(r.renew)
+		}
+		last = now
+		r.planner.SetSite(r.opts.Site())
+		began := time.Now()
+		orders := r.planner.Plan(r.instant(), now < r.renewed+startLease)
+		planSeconds.UpdateDuration(began)
+		countOrders(orders)
+		for _, o := range orders.Stops {
+			if k := r.links[o.Agent]; k != nil {
+				k.stop(o)
+			}
+		}
+		for _, o := range orders.Paces {
+			if k := r.links[o.Agent]; k != nil {
+				k.pace(o)
+			}
+			r.opts.Logger.WithFields(log.Fields{
+				"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent, "percent": o.Percent,
+				"over_ms": o.Over.Milliseconds(), "quiet_ratio": o.Quiet,
+			}).Info("pace ordered")
+		}
+		for _, o := range orders.Starts {
+			r.links[o.Agent].start(o)
+			r.opts.Logger.WithFields(log.Fields{
+				"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent,
+			}).Info("start ordered")
+		}
+		r.mu.Unlock()
+	}
+}
+
+// Status returns the state of a job. leading is false if this process does not
+// lead.
+func (l *Leader) Status(id string) (state job.State, known, leading bool) {
+	r := l.leadership.Load()
+	if r == nil {
+		return "", false, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state, known = r.planner.Status(id)
+	return state, known, true
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started.
+func (l *Leader) Waiting(queue string) (n int, leading bool) {
+	r := l.leadership.Load()
+	if r == nil {
+		return 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.Waiting(queue), true
+}
+
+// accepted takes a job that is stored. It reports whether this process leads.
+func (l *Leader) accepted(j *job.Job) bool {
+	r := l.leadership.Load()
+	if r != nil {
+		r.take(&ledger.Contents{Jobs: []*job.Job{j}})
+	}
+	return r != nil
+}
+
+// cancelled takes a cancel that is stored. It reports whether this process leads.
+func (l *Leader) cancelled(id string) bool {
+	r := l.leadership.Load()
+	if r != nil {
+		r.take(&ledger.Contents{Cancels: []string{id}})
+	}
+	return r != nil
+}
+
+var errLaterTerm = fmt.Errorf("agent follows a later term: %w", ledger.ErrDeposed)
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -35,12 +35,12 @@
 	sequence int64
 }
 
-// link is the session with one agent. Its fields are guarded by the reign's
+// link is the session with one agent. Its fields are guarded by the leadership's
 // lock, but for out.
 type link struct {
-	reign   *reign
-	id      string
-	address string
+	leadership *leadership
+	id         string
+	address    string
 	// granted is when the last lease was granted.
 	granted time.Duration
 	taken   endMark
@@ -51,19 +51,19 @@
 	ready chan struct{}
 }
 
-// addLink is called with the reign's lock held, or before its loops start.
-func (r *reign) addLink(id, address string) {
+// addLink is called with the leadership's lock held, or before its loops start.
+func (r *leadership) addLink(id, address string) {
 	if k := r.links[id]; k != nil {
 		k.address = address
 		return
 	}
-	k := &link{reign: r, id: id, address: address, ready: make(chan struct{}, 1)}
+	k := &link{leadership: r, id: id, address: address, ready: make(chan struct{}, 1)}
 	r.links[id] = k
 	r.group.Go(k.run)
 }
 
 func (k *link) run() error {
-	r := k.reign
+	r := k.leadership
 	wait := linkRetry
 	for r.ctx.Err() == nil {
 		connected, err := k.session()
@@ -84,7 +84,7 @@
 
 // session runs one session and says whether the agent has answered.
 func (k *link) session() (connected bool, err error) {
-	r := k.reign
+	r := k.leadership
 	r.mu.Lock()
 	address := k.address
 	r.mu.Unlock()
@@ -104,7 +104,7 @@
 	if err := stream.SetDeadline(time.Now().Add(linkDialTimeout)); err != nil {
 		return false, err
 	}
-	if err := stream.Send(&wirepb.LeaderMessage{Term: r.hold.Term.Number, Leader: r.opts.Address}); err != nil {
+	if err := stream.Send(&wirepb.LeaderMessage{Term: r.term.Term.Number, Leader: r.opts.Address}); err != nil {
 		return false, err
 	}
 	k.open()
@@ -115,7 +115,7 @@
 		if err := stream.Recv(&m); err != nil {
 			return connected, err
 		}
-		if m.LaterTerm > r.hold.Term.Number {
+		if m.LaterTerm > r.term.Term.Number {
 			return connected, errLaterTerm
 		}
 		k.receive(&m, connected)
@@ -135,7 +135,7 @@
 
 // connected takes the agent's snapshot.
 func (k *link) connected(now time.Duration, m *wirepb.AgentMessage) {
-	r := k.reign
+	r := k.leadership
 	k.acked = endMark{}
 	k.ends(now, m)
 	runner := wire.Runner(m.Runner)
@@ -153,7 +153,7 @@
 // describe tells the agent what it cannot know of runs that it did not start.
 func (k *link) describe(active []job.Activity) {
 	for _, act := range active {
-		if step := k.reign.planner.Step(act.Run.Task); step != nil {
+		if step := k.leadership.planner.Step(act.Run.Task); step != nil {
 			k.outMu.Lock()
 			k.out.Details = append(k.out.Details, details(act.Run, step))
 			k.outMu.Unlock()
@@ -179,17 +179,17 @@
 		}
 		end, err := wire.End(e)
 		if err != nil {
-			k.reign.opts.Logger.WithError(err).WithField("agent", k.id).Error("end of a run left out")
+			k.leadership.opts.Logger.WithError(err).WithField("agent", k.id).Error("end of a run left out")
 			continue
 		}
 		k.taken.sequence = e.Sequence
 		countEnd(end.Reason)
-		k.reign.planner.Ended(now, k.id, end)
+		k.leadership.planner.Ended(now, k.id, end)
 	}
 }
 
 func (k *link) lost() {
-	r := k.reign
+	r := k.leadership
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k.outMu.Lock()
@@ -201,7 +201,7 @@
 
 // receive takes a message. Until the snapshot, an agent sends nothing but beats.
 func (k *link) receive(m *wirepb.AgentMessage, connected bool) {
-	r := k.reign
+	r := k.leadership
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
@@ -221,7 +221,7 @@
 
 // update takes what has changed at an agent.
 func (k *link) update(now time.Duration, m *wirepb.AgentMessage) {
-	r := k.reign
+	r := k.leadership
 	if m.Runner != nil || m.NoRunner {
 		k.ends(now, m)
 		r.planner.RunnerChanged(now, k.id, wire.Runner(m.Runner))
@@ -301,9 +301,9 @@
 		if m == nil {
 			return
 		}
-		m.Term = k.reign.hold.Term.Number
+		m.Term = k.leadership.term.Term.Number
 		if err := stream.Send(m); err != nil {
-			k.reign.opts.Logger.WithError(err).WithField("agent", k.id).Warn("message to agent not sent")
+			k.leadership.opts.Logger.WithError(err).WithField("agent", k.id).Warn("message to agent not sent")
 			_ = session.Close()
 			return
 		}
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -51,7 +51,7 @@
 }
 
 // RemoveAgents removes the registrations of agents on which nothing is alive.
-func (h *Hold) RemoveAgents(ctx context.Context, names []string) error {
+func (h *HeldTerm) RemoveAgents(ctx context.Context, names []string) error {
 	if len(names) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,182 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/store"
+	"bamboowood/platform"
+	"bamboowood/platform/platformtest"
+)
+
+func newLedger(t *testing.T) (*ledger.Ledger, *platformtest.Store) {
+	standin := platformtest.NewStore()
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return ledger.New(platform.NewStore(strings.TrimPrefix(server.URL, "http://"))), standin
+}
+
+func lead(t *testing.T, l *ledger.Ledger, process string) *ledger.HeldTerm {
+	current, _, err := l.Leader(t.Context())
+	must.NoError(t, err)
+	held, err := l.Lead(t.Context(), current, "10.0.0.1:1", process)
+	must.NoError(t, err)
+	return held
+}
+
+func done(id string, state job.State) []planner.Change {
+	return []planner.Change{{Job: id, Progress: &planner.Progress{State: state}}}
+}
+
+const testID = "00000000000000a1"
+
+func TestAccept_OnceAndReadBack(t *testing.T) {
+	l, _ := newLedger(t)
+	j := &job.Job{
+		ID: testID, Payload: "p", AcceptedAt: time.UnixMilli(1_000).UTC(),
+		Queue: job.Queue{Name: "q", Service: "desk", Stretch: 1.5, Slack: time.Second},
+		Steps: []job.Step{{Tasks: 2, CPU: 100, Estimate: time.Second, After: []int{}, Filler: true}},
+	}
+	must.NoError(t, l.Accept(t.Context(), j))
+	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID, Payload: "another"}))
+	contents, err := l.Load(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, contents.Jobs)
+	contents.Jobs[0].Steps[0].After = []int{}
+	test.Eq(t, j, contents.Jobs[0])
+}
+
+func TestStatus(t *testing.T) {
+	l, _ := newLedger(t)
+	_, known, err := l.Status(t.Context(), testID)
+	must.NoError(t, err)
+	test.False(t, known)
+	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID}))
+	check := func(want job.State) {
+		t.Helper()
+		state, known, err := l.Status(t.Context(), testID)
+		must.NoError(t, err)
+		test.True(t, known)
+		test.Eq(t, want, state)
+	}
+	check(job.Queued)
+	must.NoError(t, l.Cancel(t.Context(), testID))
+	check(job.Cancelled)
+	must.NoError(t, lead(t, l, "p1").Commit(t.Context(), done(testID, job.Completed)))
+	check(job.Completed)
+}
+
+// A deposed leader can write nothing any more.
+func TestHeldTerm_Deposed(t *testing.T) {
+	l, _ := newLedger(t)
+	old := lead(t, l, "p1")
+	must.NoError(t, old.Renew(t.Context()))
+	lead(t, l, "p2")
+	test.ErrorIs(t, old.Renew(t.Context()), ledger.ErrDeposed)
+	test.ErrorIs(t, old.Commit(t.Context(), done(testID, job.Failed)), ledger.ErrDeposed)
+	test.ErrorIs(t, old.RemoveAgents(t.Context(), []string{"a"}), ledger.ErrDeposed)
+	test.ErrorIs(t, old.Forget(t.Context(), []string{testID}), ledger.ErrDeposed)
+}
+
+// Of two that begin the next term at once one succeeds.
+func TestLead_Race(t *testing.T) {
+	l, _ := newLedger(t)
+	current, _, err := l.Leader(t.Context())
+	must.NoError(t, err)
+	_, err = l.Lead(t.Context(), current, "10.0.0.1:1", "p1")
+	must.NoError(t, err)
+	_, err = l.Lead(t.Context(), current, "10.0.0.2:1", "p2")
+	test.ErrorIs(t, err, ledger.ErrDeposed)
+}
+
+// A term that began without an answer is taken up by the process that began it.
+func TestLead_LostAnswer(t *testing.T) {
+	l, standin := newLedger(t)
+	standin.SetFault(platformtest.Lost)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := l.Lead(ctx, ledger.Term{}, "10.0.0.1:1", "p1")
+	must.Error(t, err)
+	must.False(t, errors.Is(err, store.ErrRefused))
+	standin.SetFault(platformtest.None)
+	held := lead(t, l, "p1")
+	test.Eq(t, 1, held.Term.Number)
+	test.NoError(t, held.Renew(t.Context()))
+}
+
+// A commit that was applied without an answer succeeds when it is repeated, also
+// with newer progress of the same job.
+func TestCommit_LostAnswer(t *testing.T) {
+	l, standin := newLedger(t)
+	held := lead(t, l, "p1")
+	must.NoError(t, held.Commit(t.Context(), done(testID, job.Running)))
+	standin.SetFault(platformtest.Lost)
+	must.Error(t, held.Commit(t.Context(), done(testID, job.Queued)))
+	standin.SetFault(platformtest.None)
+	must.NoError(t, held.Commit(t.Context(), done(testID, job.Completed)))
+	contents, err := held.Load(t.Context())
+	must.NoError(t, err)
+	test.Eq(t, job.Completed, contents.Progress[testID].State)
+}
+
+// A commit that the store refused may be repeated.
+func TestCommit_Refused(t *testing.T) {
+	l, standin := newLedger(t)
+	held := lead(t, l, "p1")
+	standin.SetFault(platformtest.Busy)
+	test.ErrorIs(t, held.Commit(t.Context(), done(testID, job.Running)), store.ErrRefused)
+	standin.SetFault(platformtest.None)
+	test.NoError(t, held.Commit(t.Context(), done(testID, job.Running)))
+}
+
+func TestResign(t *testing.T) {
+	l, _ := newLedger(t)
+	held := lead(t, l, "p1")
+	_, version, err := l.Leader(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, held.Resign(t.Context()))
+	changed, _, err := l.FollowTerm(t.Context(), version, time.Second)
+	must.NoError(t, err)
+	test.True(t, changed)
+	current, _, err := l.Leader(t.Context())
+	must.NoError(t, err)
+	test.True(t, current.Resigned)
+}
+
+// An empty feed tells no change, though its version moves on with other tables.
+func TestFollowTerm_OtherTables(t *testing.T) {
+	l, _ := newLedger(t)
+	lead(t, l, "p1")
+	_, version, err := l.Leader(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID}))
+	changed, next, err := l.FollowTerm(t.Context(), version, 10*time.Millisecond)
+	must.NoError(t, err)
+	test.False(t, changed)
+	test.Greater(t, version, next)
+}
+
+func TestAgents(t *testing.T) {
+	l, _ := newLedger(t)
+	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
+	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
+	agents, version, err := l.Agents(t.Context())
+	must.NoError(t, err)
+	test.Eq(t, map[string]string{"a": "10.0.0.9:1"}, agents)
+	must.NoError(t, lead(t, l, "p1").RemoveAgents(t.Context(), []string{"a"}))
+	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
+	agents, _, err = l.FollowAgents(t.Context(), version, time.Second)
+	must.NoError(t, err)
+	test.MapLen(t, 1, agents)
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -62,9 +62,9 @@
 	return t, nil
 }
 
-// Hold is a term that this process leads. Its methods are not safe for
+// HeldTerm is a term that this process leads. Its methods are not safe for
 // concurrent use, except Renew.
-type Hold struct {
+type HeldTerm struct {
 	ledger *Ledger
 	Term   Term
 	// progress has the version of each job's row of progressTable.
@@ -75,9 +75,9 @@
 
 // Lead begins the term after prev, if prev is still the current one. A term that
 // this process began without learning of it is taken up.
-func (l *Ledger) Lead(ctx context.Context, prev Term, leader, process string) (*Hold, error) {
+func (l *Ledger) Lead(ctx context.Context, prev Term, leader, process string) (*HeldTerm, error) {
 	if prev.Process == process && !prev.Resigned {
-		return &Hold{ledger: l, Term: prev, progress: map[string]int64{}}, nil
+		return &HeldTerm{ledger: l, Term: prev, progress: map[string]int64{}}, nil
 	}
 	t := Term{Number: prev.Number + 1, Leader: leader, Process: process}
 	value, err := json.Marshal(t)
@@ -99,15 +99,15 @@
 	} else if err != nil {
 		return nil, fmt.Errorf("begin term %d: %w", t.Number, err)
 	}
-	return &Hold{ledger: l, Term: t, progress: map[string]int64{}}, nil
+	return &HeldTerm{ledger: l, Term: t, progress: map[string]int64{}}, nil
 }
 
-func (h *Hold) expectTerm() store.Expect {
+func (h *HeldTerm) expectTerm() store.Expect {
 	return store.Expect{Key: key(termTable, leaderKey), Version: h.Term.version}
 }
 
 // Renew shows the other entries that this process leads.
-func (h *Hold) Renew(ctx context.Context) error {
+func (h *HeldTerm) Renew(ctx context.Context) error {
 	return deposedBy(h.ledger.apply(ctx, store.Tx{
 		Expect: []store.Expect{h.expectTerm()},
 		Writes: []store.Write{{Key: key(renewalTable, leaderKey), Value: []byte(h.Term.Process)}},
@@ -115,7 +115,7 @@
 }
 
 // Resign gives up the term, so that another entry may lead at once.
-func (h *Hold) Resign(ctx context.Context) error {
+func (h *HeldTerm) Resign(ctx context.Context) error {
 	t := h.Term
 	t.Resigned = true
 	value, err := json.Marshal(t)
@@ -141,7 +141,7 @@
 }
 
 // Load reads all jobs, and remembers the versions that Commit relies on.
-func (h *Hold) Load(ctx context.Context) (*Contents, error) {
+func (h *HeldTerm) Load(ctx context.Context) (*Contents, error) {
 	c, err := h.ledger.Load(ctx)
 	if err == nil {
 		h.progress = c.progressVersions
@@ -156,7 +156,7 @@
 // Commit stores changes of progress, all or none. After an error other than
 // ErrDeposed they may be stored; the same changes or newer ones of the same jobs
 // may be committed again.
-func (h *Hold) Commit(ctx context.Context, changes []planner.Change) error {
+func (h *HeldTerm) Commit(ctx context.Context, changes []planner.Change) error {
 	if h.doubtful != nil {
 		if err := h.settle(ctx); err != nil {
 			return err
@@ -176,11 +176,11 @@
 }
 
 // settle repeats a transaction of which the result is not known.
-func (h *Hold) settle(ctx context.Context) error {
+func (h *HeldTerm) settle(ctx context.Context) error {
 	return h.try(ctx, *h.doubtful)
 }
 
-func (h *Hold) try(ctx context.Context, tx store.Tx) error {
+func (h *HeldTerm) try(ctx context.Context, tx store.Tx) error {
 	version, err := h.ledger.store.Apply(ctx, tx)
 	conflict := (*store.ConflictError)(nil)
 	switch {
@@ -202,7 +202,7 @@
 // applied handles a conflict: an earlier try of the same transaction has been
 // applied if the rows are as it writes them, since nobody else writes them while
 // the term lasts.
-func (h *Hold) applied(tx store.Tx, conflict *store.ConflictError) error {
+func (h *HeldTerm) applied(tx store.Tx, conflict *store.ConflictError) error {
 	if row, ok := conflict.Row(termTable, leaderKey); !ok || row.Version != h.Term.version {
 		return fmt.Errorf("%w: %w", ErrDeposed, conflict)
 	}
@@ -228,7 +228,7 @@
 const maxForget = (store.MaxTxEntries - 1) / 3
 
 // Forget removes jobs that ended long ago.
-func (h *Hold) Forget(ctx context.Context, ids []string) error {
+func (h *HeldTerm) Forget(ctx context.Context, ids []string) error {
 	for len(ids) > 0 {
 		n := min(len(ids), maxForget)
 		tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -159,7 +159,7 @@
 			return starts
 		}
 		number := max(t.run+1, p.firstRun())
-		starts = append(starts, p.order1(now, a, s, i, number, t.checkpoint))
+		starts = append(starts, p.begin(now, a, s, i, number, t.checkpoint))
 	}
 	return starts
 }
@@ -185,14 +185,14 @@
 			}
 			return starts[:begun]
 		}
-		starts = append(starts, p.order1(now, a, s, i, number, s.gangCheckpoint))
+		starts = append(starts, p.begin(now, a, s, i, number, s.gangCheckpoint))
 	}
 	s.gangRun = number
 	return starts
 }
 
-// order1 orders one run.
-func (p *Planner) order1(now time.Duration, a *agent, s *stepState, index int, number int64, checkpoint string) Start {
+// begin orders one run.
+func (p *Planner) begin(now time.Duration, a *agent, s *stepState, index int, number int64, checkpoint string) Start {
 	id := job.Run{
 		Task:   job.Task{Job: s.job.job.ID, Occurrence: s.occ.k, Step: s.index, Index: index},
 		Number: number,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -40,8 +40,6 @@
 	KeepEnded time.Duration
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor float64
-	// StopTime is the longest time that a runner takes to stop a run.
-	StopTime time.Duration
 }
 
 // runsPerTerm is the number of starts of one task in one term that keeps run
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -36,6 +36,8 @@
 	// clockDrift is how much slower the runner's clock may be (PROTOCOL: 2%), with
 	// as much again for this machine's.
 	clockDrift = 0.04
+	// killTime is what a runner needs to kill its runs when their lease ends.
+	killTime = 100 * time.Millisecond
 	// leaseMargin covers rounding to milliseconds.
 	leaseMargin = 20 * time.Millisecond
 	// refusedTime is how long nothing must listen at the runner's address before
@@ -149,15 +151,12 @@
 	case now-s.refusedAt > refusedTime:
 		s.runnerDead("its process has ended")
 	}
-	if s.runner != nil && s.leaseEnd != 0 && now > s.leaseEnd+s.stopTime() {
+	if s.runner != nil && s.leaseEnd != 0 && now > s.leaseEnd+killTime {
 		s.runsLapsed()
 	}
 	return failurePause
 }
 
-// stopTime is added to a lease's end: runs are killed then, which takes a moment.
-func (s *Supervisor) stopTime() time.Duration { return failurePause }
-
 // runnerDead forgets a runner whose process has ended.
 func (s *Supervisor) runnerDead(why string) {
 	s.opts.Logger.WithFields(log.Fields{
