--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -59,6 +59,8 @@
 	path   string
 	logs   *logline.Handler
 	logger *log.Logger
+	// hup takes SIGHUP from the start on: unhandled it would end the process.
+	hup chan os.Signal
 	// stopping is set from SIGTERM on.
 	stopping atomic.Bool
 }
@@ -82,7 +84,9 @@
 	logger.WithFields(log.Fields{
 		"role": role, "node": node.Name, "zone": node.Zone, "ip": node.IP, "pid": os.Getpid(),
 	}).Info("process starts")
-	return &PlatformNode{node: node, path: path, logs: logs, logger: logger}
+	n := &PlatformNode{node: node, path: path, logs: logs, logger: logger, hup: make(chan os.Signal, 1)}
+	signal.Notify(n.hup, syscall.SIGHUP)
+	return n
 }
 
 // Close writes the last log lines.
@@ -143,7 +147,7 @@
 		defer cancel()
 		stop := context.AfterFunc(ctx, cancel)
 		defer stop()
-		_ = lead.Run(run)
+		_ = lead.Run(run) // returns when its context ends, with that error
 		<-background.Done()
 		return nil
 	}, nil)
@@ -191,9 +195,6 @@
 // addSettingsWatch reads the settings file on SIGHUP, and from time to time.
 func (n *PlatformNode) addSettingsWatch(g *run.Group) {
 	addContext(g, func(ctx context.Context) error {
-		hup := make(chan os.Signal, 1)
-		signal.Notify(hup, syscall.SIGHUP)
-		defer signal.Stop(hup)
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
 		current, err := os.ReadFile(n.path)
@@ -205,7 +206,7 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
-			case <-hup:
+			case <-n.hup:
 				signalled = true
 			case <-ticker.C:
 			}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -30,6 +30,7 @@
 type Handler struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	stop    chan struct{}
 	done    chan struct{}
 	close   sync.Once
 }
@@ -37,7 +38,7 @@
 // New returns a handler that writes to w from a goroutine of its own. Close ends
 // that.
 func New(w io.Writer) *Handler {
-	h := &Handler{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	h := &Handler{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
 	metrics.GetOrCreateGauge("bamboowood_log_lines_dropped_total", func() float64 { return float64(h.dropped.Load()) })
 	go h.write(w)
 	return h
@@ -59,10 +60,10 @@
 // closeTimeout bounds how long Close waits for the output.
 const closeTimeout = 200 * time.Millisecond
 
-// Close writes what waits, for a short time at most. No entry may be handled
-// afterwards.
+// Close writes what waits, for a short time at most. Entries that are handled
+// later are lost.
 func (h *Handler) Close() {
-	h.close.Do(func() { close(h.lines) })
+	h.close.Do(func() { close(h.stop) })
 	select {
 	case <-h.done:
 	case <-time.After(closeTimeout):
@@ -73,18 +74,25 @@
 	defer close(h.done)
 	out := bufio.NewWriterSize(w, bufferBytes)
 	var told int64
-	for line := range h.lines {
+	for {
+		var line []byte
+		select {
+		case line = <-h.lines:
+		default:
+			// Without an output there is nowhere to report to.
+			_ = out.Flush()
+			select {
+			case line = <-h.lines:
+			case <-h.stop:
+				return
+			}
+		}
 		if n := h.dropped.Load(); n > told {
 			fmt.Fprintf(out, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", n-told)
 			told = n
 		}
 		_, _ = out.Write(line) // a failed write shows in the next Flush
-		if len(h.lines) == 0 {
-			// Without an output there is nowhere to report to.
-			_ = out.Flush()
-		}
 	}
-	_ = out.Flush()
 }
 
 // encode returns the entry as one line: level, time and msg, then its fields by
