leader: sessions to agents begin once all agents are known

A session that answered first could also have met a planner that did not know of the others yet. Change: agents are registered under the lock, then their sessions begin.

--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -78,10 +78,7 @@
 		group: group,
 	}
 	r.restore(contents)
-	for id, address := range agents {
-		r.planner.AgentKnown(id, began+grantLease+opts.Hold+leaseMargin)
-		r.addLink(id, address)
-	}
+	r.awaitAgents(agents, began+grantLease+opts.Hold+leaseMargin)
 	logger.WithFields(log.Fields{
 		"jobs": len(contents.Jobs), "agents": len(agents), "took": (l.opts.Now() - began).String(),
 	}).Info("leading")
@@ -135,6 +132,19 @@
 	}
 }
 
+// awaitAgents makes the planner wait for all agents that may have runs of an
+// earlier leader, and begins their sessions once it knows of all.
+func (r *leadership) awaitAgents(agents map[string]string, lapseAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range agents {
+		r.planner.AgentKnown(id, lapseAt)
+	}
+	for id, address := range agents {
+		r.addLink(id, address)
+	}
+}
+
 func kick(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -51,7 +51,7 @@
 	ready chan struct{}
 }
 
-// addLink is called with the leadership's lock held, or before its loops start.
+// addLink is called with the leadership's lock held.
 func (r *leadership) addLink(id, address string) {
 	if k := r.links[id]; k != nil {
 		k.address = address
