test, daemon: tests read the daemon's logs on standard output, which are written to the end

The last lines could be lost, since nothing closed the writer of the older roles. Change: the checks ask for the same lines on standard output, under msg; Main closes the log.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,15 @@
 	return &log.Logger{Handler: handler, Level: l}, nil
 }
 
+// CloseLogs writes the lines that wait in the default logger.
+func CloseLogs() {
+	if logger, ok := log.Log.(*log.Logger); ok {
+		if handler, ok := logger.Handler.(*logline.Handler); ok {
+			handler.Close()
+		}
+	}
+}
+
 // listen opens a TCP listener, with TLS when files are named.
 func listen(addr string, files settings.TLS, settingsFile string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -169,6 +169,7 @@
 		fmt.Fprintln(os.Stderr, "bamboowoodd:", err)
 		return exitUsage
 	}
+	defer daemon.CloseLogs()
 	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "bamboowoodd:", err)
 		return exitFailed
--- a/test/nodes_bench_test.go
+++ b/test/nodes_bench_test.go
@@ -83,6 +83,7 @@
 	file := filepath.Join(f.dir, name+".toml")
 	writeSettings(b, file, cfg)
 	p := &proc{cmd: exec.Command(f.binary, role, file)}
+	p.cmd.Stdout = p
 	p.cmd.Stderr = p
 	must.NoError(b, p.cmd.Start())
 	f.procs[name] = p
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -108,6 +108,7 @@
 	writeSettings(c.t, file, cfg)
 	p := &proc{cmd: exec.Command(os.Args[0], role, file)}
 	p.cmd.Env = append(os.Environ(), runAs+"=bamboowoodd")
+	p.cmd.Stdout = p
 	p.cmd.Stderr = p
 	must.NoError(c.t, p.cmd.Start())
 	c.t.Cleanup(func() {
