planner: a job whose runs are all paced to a standstill stands still

Change: runs at pace 0 do not count as work for the 2 s after which a job gets one task before all others. Test: TestPattern_JobOfPacedFillerStandsStill fails without it.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -162,6 +162,7 @@
 	a.occupy(now, s.step, 1)
 	s.onAgent[a]++
 	s.job.live++
+	s.job.working++
 	s.job.begun = true
 	return r
 }
@@ -171,12 +172,31 @@
 	r.agent.occupy(now, r.step.step, -1)
 	r.step.onAgent[r.agent]--
 	r.step.job.live--
-	r.step.job.idleSince = now
+	if r.pace > 0 {
+		r.step.job.stopsWorking(now)
+	}
 	if r.task.active == r {
 		r.task.active = nil
 	}
 }
 
+func (js *jobState) stopsWorking(now time.Duration) {
+	js.working--
+	js.idleSince = now
+}
+
+// setPace notes the pace that is ordered for a run.
+func (r *run) setPace(now time.Duration, percent int) {
+	js := r.step.job
+	switch {
+	case r.pace > 0 && percent == 0:
+		js.stopsWorking(now)
+	case r.pace == 0 && percent > 0:
+		js.working++
+	}
+	r.pace = percent
+}
+
 func (a *agent) occupy(now time.Duration, s *job.Step, sign int64) {
 	if s.Filler {
 		a.fillerCPU += sign * s.CPU
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -121,3 +121,30 @@
 		test.Eq(t, "b", s.Agent)
 	}
 }
+
+// A job whose only run is paced to a standstill has another of its tasks started
+// after a while, elsewhere.
+func TestPattern_JobOfPacedFillerStandsStill(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, serving(1, "web")), nil, false)
+	must.Len(t, 1, f.plan().Starts)
+	fills := filler("heavy")
+	fills.Tasks, fills.CPU = 2, 10_000
+	j := testJob(2, fills)
+	f.add(j, nil, false)
+	first := f.plan().Starts
+	must.Len(t, 1, first, must.Sprint("the second does not fit beside the first"))
+	f.jobs[j.ID].accepted -= time.Hour
+	f.report("a", first[0].Run, 10_000)
+	f.agents["a"].runs[first[0].Run].setPace(f.now, 0)
+	f.agents["a"].pacedAt = f.now + time.Hour // keeps the pace as it is
+	f.now += starvedAfter
+	must.Len(t, 0, f.plan().Starts)
+	f.now += time.Millisecond
+	second := f.plan().Starts
+	must.Len(t, 1, second)
+	test.Eq(t, j.ID, second[0].Run.Task.Job)
+	f.now += 2 * starvedAfter
+	must.Len(t, 0, f.plan().Starts, must.Sprint("it works again"))
+}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -54,7 +54,7 @@
 			if change == 0 || max(change, -change) < paceStep && r.percent != fullPace && r.percent != 0 {
 				continue
 			}
-			r.run.pace = r.percent
+			r.run.setPace(now, r.percent)
 			a.fillersChanged = now
 			paces = append(paces, Pace{Agent: a.id, Run: r.run.id, Percent: r.percent, Over: over, Quiet: quiet})
 		}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -81,7 +81,7 @@
 	if s.step.Continuous {
 		return c
 	}
-	if s.job.live == 0 && now-s.job.idleSince > starvedAfter {
+	if s.job.working == 0 && now-s.job.idleSince > starvedAfter {
 		c.rank = rankStarved
 		return c
 	}
@@ -127,7 +127,7 @@
 		switch {
 		case c.step.step.Gang:
 			starts = p.startGang(now, c.step, eject, starts)
-		case c.rank == rankStarved && c.step.job.live == 0:
+		case c.rank == rankStarved && c.step.job.working == 0:
 			starts = p.startTasks(now, c.step, choice{eject: eject, crowd: true, limit: 1}, starts)
 		default:
 			starts = p.startTasks(now, c.step, choice{eject: eject}, starts)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,9 +103,11 @@
 	// them that are not done.
 	opened int
 	open   map[int]*occurrence
-	// live counts runs that may be alive; without any, idleSince is when the last
-	// one ended.
-	live      int
+	// live counts runs that may be alive.
+	live int
+	// working counts those of them that are not paced to a standstill; without any,
+	// idleSince is when the last one ended or was.
+	working   int
 	idleSince time.Duration
 	endedAt   time.Duration
 }
