store, ledger, leader: whole tables are read page by page, by progress, while the term is renewed

Entries there have links of 2 Mbit/s. Each call of the store was cut after 700 ms in all, the answer included, so that a config of 1,812 routes could never arrive; the watcher then read the whole table again, and a new leader its ledger, in 32 reads at once. These filled the links on which renewals go. A leader did not renew its term while it read the ledger, so the next one took over before the first start. The watcher goes on after a cut feed. A load of the ledger keeps what it has read. A leader renews its term and grants leases while it reads. A watch of the term survives cut calls. A job that comes with progress when a feed's history was dropped is taken with it: it may just be being forgotten. TestPattern_TablesOnSlowLinks fails at 0.5 and 2 Mbit/s with calls that are cut in all.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -118,10 +118,11 @@
 // RunEntry runs an entry until SIGTERM, and then until what it has begun is done.
 func (n *PlatformNode) RunEntry(ctx context.Context) error {
 	tables := store.NewHealth(platform.NewStore(n.node.StoreAddress), n.storeChanged)
-	book := ledger.New(tables)
-	callersBook := ledger.New(tables.FailFast())
+	bulk := store.NewBulk(tables, n.node.LinkRate)
+	book := ledger.New(tables, bulk)
+	callersBook := ledger.New(tables.FailFast(), bulk)
 	sites := &site.Watcher{
-		Store: tables, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Store: tables, Bulk: bulk, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
 	}
 	var advisor leader.Advisor
 	if n.node.AdviceAddress != "" {
@@ -242,7 +243,8 @@
 
 // RunAgent runs an agent until SIGTERM.
 func (n *PlatformNode) RunAgent(ctx context.Context) error {
-	book := ledger.New(platform.NewStore(n.node.StoreAddress))
+	tables := platform.NewStore(n.node.StoreAddress)
+	book := ledger.New(tables, store.NewBulk(tables, n.node.LinkRate))
 	super := supervisor.New(supervisor.Options{
 		Runner: platform.NewRunner(n.node.RunnerAddress), Logger: n.logger, Now: boottime.Now,
 		MaxHold: n.hold(), FirstToken: time.Now().UnixMilli(),
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -33,14 +33,14 @@
 	return 1, err
 }
 
-func (f *fakeStore) Read(_ context.Context, r store.Range) ([]store.Row, int64, error) {
+func (f *fakeStore) Read(_ context.Context, r store.Range, _ int) (store.Page, error) {
 	var found []store.Row
 	for _, row := range f.rows {
 		if row.Table == r.Table && row.Key == r.From {
 			found = append(found, row)
 		}
 	}
-	return found, 1, f.read
+	return store.Page{Rows: found, Version: 1}, f.read
 }
 
 func (f *fakeStore) Feed(context.Context, string, int64, time.Duration) ([]store.Row, int64, error) {
@@ -71,7 +71,7 @@
 func (f *fakeLeader) Store(context.Context, *job.Job) error       { return f.relay }
 func (f *fakeLeader) StoreCancel(context.Context, string) error   { return f.relay }
 func entry(s *fakeStore, l *fakeLeader) *Entry {
-	return &Entry{Ledger: ledger.New(s), Leader: l, Logger: &log.Logger{Handler: discard.Default}}
+	return &Entry{Ledger: ledger.New(s, store.NewBulk(s, 0)), Leader: l, Logger: &log.Logger{Handler: discard.Default}}
 }
 
 func goodJob() *job.Job {
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -16,6 +16,7 @@
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/planner"
 	"bamboowood/internal/site"
+	"bamboowood/internal/store"
 )
 
 // Leases between entries. An entry starts nothing later than startLease after it
@@ -118,11 +119,12 @@
 	}
 	l.observe(term)
 	if !l.vacant(term) {
-		vacant, err := l.watch(ctx, version)
+		vacant, err := l.watch(ctx, term, version)
 		if err != nil || !vacant {
 			return err
 		}
 	}
+	sent := l.opts.Now()
 	held, err := l.opts.Ledger.Lead(ctx, term, l.opts.Address, l.opts.Process)
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
@@ -131,7 +133,7 @@
 		return err
 	}
 	l.observe(held.Term)
-	return l.lead(ctx, held)
+	return l.lead(ctx, held, sent)
 }
 
 func (l *Leader) observe(term ledger.Term) {
@@ -146,22 +148,37 @@
 	return term.Number == 0 || term.Resigned || term.Leader == l.opts.Address
 }
 
+// termChanged waits until another term begins or this one is given up. Failed calls do
+// not end it, since the watch would have to begin anew.
+func (l *Leader) termChanged(ctx context.Context, term ledger.Term, version int64) error {
+	for {
+		found, next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
+		if errors.Is(err, store.ErrForgotten) {
+			var current ledger.Term
+			current, next, err = l.opts.Ledger.Leader(ctx)
+			found = err == nil && (current.Number != term.Number || current.Resigned)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			l.opts.Logger.WithError(err).Warn("term cannot be followed")
+			pause(ctx, retryPause+rand.N(retryPause))
+		case found:
+			return nil
+		default:
+			version = next
+		}
+	}
+}
+
 // watch returns true once the term is not renewed any more, and false when it
 // has changed.
-func (l *Leader) watch(ctx context.Context, version int64) (bool, error) {
+func (l *Leader) watch(ctx context.Context, term ledger.Term, version int64) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changed := make(chan error, 1)
-	go func() {
-		for {
-			found, next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
-			if err != nil || found {
-				changed <- err
-				return
-			}
-			version = next
-		}
-	}()
+	go func() { changed <- l.termChanged(ctx, term, version) }()
 	var seen int64
 	var since time.Duration
 	ticker := time.NewTicker(watchInterval)
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -56,12 +56,18 @@
 // reload reads all jobs and cancels, of which the planner may know most.
 func (r *leadership) reload() (int64, error) {
 	r.opts.Logger.Warn("store has dropped the history of a feed; reading all jobs")
-	c, err := r.opts.Ledger.Load(r.ctx)
-	if err != nil {
-		return 0, err
+	load := r.opts.Ledger.NewLoad()
+	c, version, err := readUntilDone(r, "jobs", func() (*ledger.Contents, int64, error) {
+		c, err := load.Run(r.ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		return c, c.Version, nil
+	})
+	if err == nil {
+		r.take(c)
 	}
-	r.take(c)
-	return c.Version, nil
+	return version, err
 }
 
 // take passes new jobs and cancels to the planner.
@@ -71,7 +77,8 @@
 	now := r.instant()
 	for _, j := range c.Jobs {
 		if !r.planner.Known(j.ID) {
-			r.planner.Add(now, j, nil, false)
+			// A job that has ended and is being forgotten comes with its progress.
+			r.planner.Add(now, j, c.Progress[j.ID], false)
 			r.opts.Logger.WithFields(log.Fields{
 				"job": j.ID, "queue": j.Queue.Name, "age_ms": now.Wall.Sub(j.AcceptedAt).Milliseconds(),
 			}).Info("job known")
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	mu      sync.Mutex
 	planner *planner.Planner
 	links   map[string]*link
+	// restored says that the planner has the ledger's jobs. Until then it must not learn
+	// of runs, since it would stop those whose jobs it does not know.
+	restored bool
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
@@ -52,51 +56,32 @@
 	group  *errgroup.Group
 }
 
-func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm) error {
-	began := l.opts.Now()
-	logger := l.opts.Logger.WithField("term", term.Term.Number)
-	contents, err := term.Load(ctx)
-	for err != nil && ctx.Err() == nil {
-		logger.WithError(err).Warn("ledger cannot be read")
-		pause(ctx, retryPause)
-		contents, err = term.Load(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	agents, agentsVersion, err := l.opts.Ledger.Agents(ctx)
-	if err != nil {
-		return err
-	}
+// lead leads a term that was begun by a call sent at a time. The term is renewed, and
+// agents get their leases, while the ledger is still being read.
+func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration) error {
 	opts := l.opts
 	opts.Planner.Term = term.Term.Number
-	opts.Logger = logger
+	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
-		renewed: began,
+		renewed: sent,
 		plan:    make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
 	}
-	r.restore(contents)
-	r.ended = contents.Orphans
-	r.awaitAgents(agents, began+grantLease+opts.Hold+leaseMargin)
-	logger.WithFields(log.Fields{
-		"jobs": len(contents.Jobs), "agents": len(agents), "took": (l.opts.Now() - began).String(),
-	}).Info("leading")
+	if !term.Renewed {
+		// Neither starts nor leases before the first renewal.
+		r.renewed = sent - grantLease
+		kick(r.renew)
+	}
 	takeovers.Inc()
-	l.leadership.Store(r)
 	defer l.leadership.Store(nil)
 	group.Go(r.renewLoop)
-	group.Go(r.planLoop)
-	group.Go(r.commitLoop)
-	group.Go(func() error { return r.followJobs(contents.Version) })
-	group.Go(func() error { return r.followCancels(contents.Version) })
-	group.Go(func() error { return r.followAgents(agentsVersion) })
-	err = group.Wait()
-	logger.WithError(err).Info("leading no more")
+	group.Go(func() error { return r.begin(l) })
+	err := group.Wait()
+	opts.Logger.WithError(err).Info("leading no more")
 	if ctx.Err() != nil {
-		l.resign(term, logger)
+		l.resign(term, opts.Logger)
 	}
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
@@ -104,6 +89,54 @@
 	return err
 }
 
+// begin reads what the store has and then begins to plan.
+func (r *leadership) begin(l *Leader) error {
+	began := r.opts.Now()
+	agents, agentsVersion, err := readUntilDone(r, "agents", func() (map[string]string, int64, error) {
+		return r.opts.Ledger.Agents(r.ctx)
+	})
+	if err != nil {
+		return err
+	}
+	r.awaitAgents(agents, began+grantLease+r.opts.Hold+leaseMargin)
+	load := r.opts.Ledger.NewLoad()
+	contents, version, err := readUntilDone(r, "jobs", func() (*ledger.Contents, int64, error) {
+		c, err := load.Run(r.ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		return c, c.Version, nil
+	})
+	if err != nil {
+		return err
+	}
+	r.term.Use(contents)
+	r.ended = contents.Orphans
+	r.restore(contents)
+	r.opts.Logger.WithFields(log.Fields{
+		"jobs": len(contents.Jobs), "agents": len(agents), "took": (r.opts.Now() - began).String(),
+	}).Info("leading")
+	l.leadership.Store(r)
+	r.group.Go(r.planLoop)
+	r.group.Go(r.commitLoop)
+	r.group.Go(func() error { return r.followJobs(version) })
+	r.group.Go(func() error { return r.followCancels(version) })
+	r.group.Go(func() error { return r.followAgents(agentsVersion) })
+	return nil
+}
+
+// readUntilDone repeats a read of the ledger until it succeeds.
+func readUntilDone[T any](r *leadership, what string, read func() (T, int64, error)) (T, int64, error) {
+	for {
+		found, version, err := read()
+		if err == nil || r.ctx.Err() != nil {
+			return found, version, err
+		}
+		r.opts.Logger.WithError(err).WithField("what", what).Warn("ledger cannot be read")
+		pause(r.ctx, retryPause+rand.N(retryPause))
+	}
+}
+
 func (l *Leader) resign(term *ledger.HeldTerm, logger log.Interface) {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
@@ -116,8 +149,11 @@
 	return planner.Instant{Mono: r.opts.Now(), Wall: time.Now()}
 }
 
-// restore passes the ledger's contents to the planner.
+// restore passes the ledger's contents to the planner, and then what agents have sent
+// meanwhile.
 func (r *leadership) restore(c *ledger.Contents) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.instant()
 	for _, j := range c.Jobs {
 		r.planner.Add(now, j, c.Progress[j.ID], true)
@@ -126,6 +162,10 @@
 		r.planner.Cancel(now.Mono, id)
 	}
 	r.logUnreadable(c)
+	r.restored = true
+	for _, k := range r.links {
+		k.takeHeld(now.Mono)
+	}
 }
 
 func (r *leadership) logUnreadable(c *ledger.Contents) {
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -45,6 +45,8 @@
 	granted time.Duration
 	taken   endMark
 	acked   endMark
+	// held has the messages that came before the planner had the ledger's jobs.
+	held []*wirepb.AgentMessage
 
 	outMu sync.Mutex
 	out   *wirepb.LeaderMessage
@@ -195,6 +197,7 @@
 	k.outMu.Lock()
 	k.out = nil
 	k.outMu.Unlock()
+	k.held = nil
 	r.planner.AgentLost(k.id, k.granted+r.opts.Hold+leaseMargin)
 	r.changed()
 }
@@ -205,11 +208,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
-	switch {
-	case m.Snapshot:
-		k.connected(now, m)
-	case connected:
-		k.update(now, m)
+	if m.Snapshot || connected {
+		k.take(now, m)
 	}
 	if m.Beat != 0 && now < r.renewed+grantLease {
 		k.granted = now
@@ -219,6 +219,33 @@
 	}
 }
 
+// take passes a snapshot or an update on, or keeps it until the ledger's jobs are known.
+func (k *link) take(now time.Duration, m *wirepb.AgentMessage) {
+	switch {
+	case !k.leadership.restored && (m.Snapshot || tellsChange(m)):
+		k.held = append(k.held, m)
+	case !k.leadership.restored:
+		// Figures of runs come again.
+	case m.Snapshot:
+		k.connected(now, m)
+	default:
+		k.update(now, m)
+	}
+}
+
+// takeHeld passes on what was kept.
+func (k *link) takeHeld(now time.Duration) {
+	for _, m := range k.held {
+		k.take(now, m)
+	}
+	k.held = nil
+}
+
+// tellsChange says whether the message has more than figures of runs.
+func tellsChange(m *wirepb.AgentMessage) bool {
+	return len(m.Ends) > 0 || len(m.Refusals) > 0 || m.Runner != nil || m.NoRunner
+}
+
 // update takes what has changed at an agent.
 func (k *link) update(now time.Duration, m *wirepb.AgentMessage) {
 	r := k.leadership
@@ -240,7 +267,7 @@
 	if len(m.Active) > 0 {
 		r.planner.Reported(now, k.id, wire.Activities(m.Active))
 	}
-	if len(m.Ends) > 0 || len(m.Refusals) > 0 || m.Runner != nil || m.NoRunner {
+	if tellsChange(m) {
 		r.changed()
 	}
 }
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -25,7 +25,7 @@
 // Agents returns the addresses of all agents by name, and where FollowAgents
 // continues.
 func (l *Ledger) Agents(ctx context.Context) (map[string]string, int64, error) {
-	rows, version, err := l.store.Read(ctx, store.Range{Table: agentTable, Part: part})
+	rows, version, err := l.bulk.ReadAll(ctx, store.Range{Table: agentTable, Part: part})
 	if err != nil {
 		return nil, 0, fmt.Errorf("read agents: %w", err)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,12 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"bamboowood/internal/job"
 	"bamboowood/internal/planner"
 	"bamboowood/internal/store"
@@ -37,10 +34,13 @@
 const leaderKey = "leader"
 
 // Ledger is safe for concurrent use.
-type Ledger struct{ store store.Store }
+type Ledger struct {
+	store store.Store
+	bulk  *store.Bulk
+}
 
-// New returns a ledger in s.
-func New(s store.Store) *Ledger { return &Ledger{store: s} }
+// New returns a ledger in s. bulk reads whole tables of it.
+func New(s store.Store, bulk *store.Bulk) *Ledger { return &Ledger{store: s, bulk: bulk} }
 
 func key(table, k string) store.Key { return store.Key{Table: table, Part: part, Key: k} }
 
@@ -101,93 +101,11 @@
 }
 
 func (l *Ledger) readOne(ctx context.Context, k store.Key) (*store.Row, error) {
-	rows, _, err := l.store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"})
-	if err != nil || len(rows) == 0 {
+	page, err := l.store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}, 1)
+	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
-	return &rows[0], nil
-}
-
-// Contents is all that the ledger has of jobs.
-type Contents struct {
-	Jobs     []*job.Job
-	Progress map[string]*planner.Progress
-	Cancels  []string
-	// Version is where feeds of jobs and cancels continue.
-	Version int64
-	// Orphans have progress and no job: they were being forgotten.
-	Orphans []string
-	// Unreadable has the errors of rows that were left out.
-	Unreadable []error
-
-	progressVersions map[string]int64
-}
-
-// Load reads everything.
-func (l *Ledger) Load(ctx context.Context) (*Contents, error) {
-	c := &Contents{Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{}}
-	jobs, version, err := l.readParts(ctx, jobTable)
-	if err != nil {
-		return nil, fmt.Errorf("read jobs: %w", err)
-	}
-	c.Version = version
-	known := map[string]bool{}
-	for _, row := range jobs {
-		known[row.Key] = true
-		c.add(DecodeJob(row.Key, row.Value))
-	}
-	progress, _, err := l.store.Read(ctx, store.Range{Table: progressTable, Part: part})
-	if err != nil {
-		return nil, fmt.Errorf("read progress: %w", err)
-	}
-	for _, row := range progress {
-		if !known[row.Key] {
-			c.Orphans = append(c.Orphans, row.Key)
-			continue
-		}
-		var p planner.Progress
-		if err := json.Unmarshal(row.Value, &p); err != nil {
-			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, err))
-			continue
-		}
-		c.Progress[row.Key] = &p
-		c.progressVersions[row.Key] = row.Version
-	}
-	cancels, _, err := l.readParts(ctx, cancelTable)
-	if err != nil {
-		return nil, fmt.Errorf("read cancels: %w", err)
-	}
-	for _, row := range cancels {
-		c.Cancels = append(c.Cancels, row.Key)
-	}
-	return c, nil
-}
-
-// readParts reads all parts of a table at once. A feed from the version that it returns
-// misses nothing.
-func (l *Ledger) readParts(ctx context.Context, table string) ([]store.Row, int64, error) {
-	var parts [len(jobParts)][]store.Row
-	var versions [len(jobParts)]int64
-	group, ctx := errgroup.WithContext(ctx)
-	for i := range parts {
-		group.Go(func() error {
-			var err error
-			parts[i], versions[i], err = l.store.Read(ctx, store.Range{Table: table, Part: jobParts[i : i+1]})
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return nil, 0, err
-	}
-	return slices.Concat(parts[:]...), slices.Min(versions[:]), nil
-}
-
-func (c *Contents) add(j *job.Job, err error) {
-	if err != nil {
-		c.Unreadable = append(c.Unreadable, err)
-		return
-	}
-	c.Jobs = append(c.Jobs, j)
+	return &page.Rows[0], nil
 }
 
 // EncodeJob returns a job as the ledger stores it, without its id.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -26,7 +26,8 @@
 	server := httptest.NewServer(standin)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
-	return ledger.New(platform.NewStore(strings.TrimPrefix(server.URL, "http://"))), standin
+	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	return ledger.New(client, store.NewBulk(client, 0)), standin
 }
 
 func lead(t *testing.T, l *ledger.Ledger, process string) *ledger.HeldTerm {
@@ -52,7 +53,7 @@
 	}
 	must.NoError(t, l.Accept(t.Context(), j))
 	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID, Payload: "another"}))
-	contents, err := l.Load(t.Context())
+	contents, err := l.NewLoad().Run(t.Context())
 	must.NoError(t, err)
 	must.Len(t, 1, contents.Jobs)
 	contents.Jobs[0].Steps[0].After = []int{}
@@ -128,7 +129,7 @@
 	must.Error(t, held.Commit(t.Context(), done(testID, job.Queued)))
 	standin.SetFault(platformtest.None)
 	must.NoError(t, held.Commit(t.Context(), done(testID, job.Completed)))
-	contents, err := held.Load(t.Context())
+	contents, err := l.NewLoad().Run(t.Context())
 	must.NoError(t, err)
 	test.Eq(t, job.Completed, contents.Progress[testID].State)
 }
@@ -170,7 +171,7 @@
 		return nil
 	})
 	must.NoError(t, group.Wait())
-	contents, err := l.Load(t.Context())
+	contents, err := l.NewLoad().Run(t.Context())
 	must.NoError(t, err)
 	test.Len(t, 32, contents.Jobs)
 }
@@ -184,7 +185,7 @@
 	must.NoError(t, held.Commit(t.Context(), done(testID, job.Completed)))
 	next := lead(t, l, "p2")
 	test.ErrorIs(t, held.Forget(t.Context(), []string{testID}), ledger.ErrDeposed)
-	contents, err := next.Load(t.Context())
+	contents, err := l.NewLoad().Run(t.Context())
 	must.NoError(t, err)
 	test.Len(t, 0, contents.Jobs)
 	test.Eq(t, []string{testID}, contents.Orphans)
--- /dev/null
+++ b/internal/ledger/load.go
@@ -0,0 +1,136 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/planner"
+	"bamboowood/internal/store"
+)
+
+// Contents is all that the ledger has of jobs.
+type Contents struct {
+	Jobs     []*job.Job
+	Progress map[string]*planner.Progress
+	Cancels  []string
+	// Version is where feeds of jobs and cancels continue.
+	Version int64
+	// Orphans have progress and no job: they were being forgotten.
+	Orphans []string
+	// Unreadable has the errors of rows that were left out.
+	Unreadable []error
+
+	progressVersions map[string]int64
+}
+
+func (c *Contents) add(j *job.Job, err error) {
+	if err != nil {
+		c.Unreadable = append(c.Unreadable, err)
+		return
+	}
+	c.Jobs = append(c.Jobs, j)
+}
+
+// Load reads everything. What it has read before a failed call it keeps, and goes on
+// from there when Run is called again.
+type Load struct {
+	ledger *Ledger
+
+	progress    []store.Row
+	hasProgress bool
+	// jobs and cancels are by part; nil until a part is read.
+	jobs, cancels [len(jobParts)]*rowsOfPart
+}
+
+type rowsOfPart struct {
+	rows    []store.Row
+	version int64
+}
+
+// NewLoad begins to read everything.
+func (l *Ledger) NewLoad() *Load { return &Load{ledger: l} }
+
+// Run reads what has not been read yet.
+//
+// Progress is read first: a job is removed before its progress, so that one that is
+// found without it has none. Only the leader writes progress, and a term that has begun
+// ends all writes of earlier ones.
+func (d *Load) Run(ctx context.Context) (*Contents, error) {
+	if !d.hasProgress {
+		rows, _, err := d.ledger.bulk.ReadAll(ctx, store.Range{Table: progressTable, Part: part})
+		if err != nil {
+			return nil, fmt.Errorf("read progress: %w", err)
+		}
+		d.progress, d.hasProgress = rows, true
+	}
+	if err := d.readParts(ctx, jobTable, &d.jobs); err != nil {
+		return nil, fmt.Errorf("read jobs: %w", err)
+	}
+	if err := d.readParts(ctx, cancelTable, &d.cancels); err != nil {
+		return nil, fmt.Errorf("read cancels: %w", err)
+	}
+	return d.contents(), nil
+}
+
+// readParts reads the parts of a table that are lacking, all that it can.
+func (d *Load) readParts(ctx context.Context, table string, parts *[len(jobParts)]*rowsOfPart) error {
+	var group errgroup.Group
+	var mu sync.Mutex
+	for i := range parts {
+		if parts[i] != nil {
+			continue
+		}
+		group.Go(func() error {
+			rows, version, err := d.ledger.bulk.ReadAll(ctx, store.Range{Table: table, Part: jobParts[i : i+1]})
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			parts[i] = &rowsOfPart{rows, version}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+func (d *Load) contents() *Contents {
+	c := &Contents{
+		Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{},
+		Version: min(d.jobs[0].version, d.cancels[0].version),
+	}
+	known := map[string]bool{}
+	for i := range jobParts {
+		c.Version = min(c.Version, d.jobs[i].version, d.cancels[i].version)
+		for _, row := range d.jobs[i].rows {
+			known[row.Key] = true
+			c.add(DecodeJob(row.Key, row.Value))
+		}
+		for _, row := range d.cancels[i].rows {
+			c.Cancels = append(c.Cancels, row.Key)
+		}
+	}
+	for _, row := range d.progress {
+		if !known[row.Key] {
+			c.Orphans = append(c.Orphans, row.Key)
+			continue
+		}
+		var p planner.Progress
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, err))
+			continue
+		}
+		c.Progress[row.Key] = &p
+		c.progressVersions[row.Key] = row.Version
+	}
+	return c
+}
+
+// Use remembers the versions of the progress that a load has read; Commit relies on
+// them.
+func (h *HeldTerm) Use(c *Contents) { h.progress = c.progressVersions }
--- /dev/null
+++ b/internal/ledger/load_test.go
@@ -0,0 +1,188 @@
+package ledger_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/site"
+	"bamboowood/internal/store"
+	"bamboowood/platform"
+	"bamboowood/platform/platformtest"
+)
+
+// brittleStore fails the reads of a part a number of times, and counts pages by part.
+type brittleStore struct {
+	store.Store
+	mu       sync.Mutex
+	failures map[string]int
+	pages    map[string]int
+}
+
+var errCut = errors.New("connection reset")
+
+func (s *brittleStore) Read(ctx context.Context, r store.Range, limit int) (store.Page, error) {
+	s.mu.Lock()
+	s.pages[r.Part]++
+	fails := s.failures[r.Part] > 0
+	s.failures[r.Part]--
+	s.mu.Unlock()
+	if fails {
+		return store.Page{}, errCut
+	}
+	return s.Store.Read(ctx, r, limit)
+}
+
+// A load that is cut goes on with what it has not read yet.
+func TestLoad_GoesOn(t *testing.T) {
+	inner, _ := newClient(t)
+	s := &brittleStore{Store: inner, failures: map[string]int{"7": 3}, pages: map[string]int{}}
+	l := ledger.New(s, store.NewBulk(s, 0))
+	for n := range uint64(16) {
+		must.NoError(t, l.Accept(t.Context(), &job.Job{ID: fmt.Sprintf("%016x", n<<60)}))
+	}
+	load := l.NewLoad()
+	var contents *ledger.Contents
+	err := errCut
+	for tries := 0; err != nil; tries++ {
+		must.Less(t, 10, tries)
+		contents, err = load.Run(t.Context())
+	}
+	test.Len(t, 16, contents.Jobs)
+	test.Eq(t, 2+3, s.pages["7"])
+	test.Eq(t, 2, s.pages["3"])
+	test.Eq(t, 1, s.pages["main"])
+}
+
+func newClient(t *testing.T) (*platform.Store, *platformtest.Store) {
+	standin := platformtest.NewStore()
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return platform.NewStore(strings.TrimPrefix(server.URL, "http://")), standin
+}
+
+// After all processes were lost, an entry on a slow link reads a large configuration and
+// the ledger at once, and renews its term meanwhile: every transfer ends, however long
+// the link needs for it, and each renewal is answered in its time.
+func TestPattern_TablesOnSlowLinks(t *testing.T) {
+	const (
+		// renewal is the time that a leader gives a renewal.
+		renewal = time.Second
+		every   = 400 * time.Millisecond
+		// slack times the time that the bytes need: what pages are read twice and wait.
+		slack = 2
+	)
+	for _, c := range []struct {
+		mbps   float64
+		routes int
+		jobs   int
+	}{{0.5, 600, 300}, {2, 1812, 1500}, {20, 1812, 5000}} {
+		t.Run(fmt.Sprint(c.mbps, " Mbit/s"), func(t *testing.T) {
+			t.Parallel()
+			client, standin := newClient(t)
+			rate := int64(c.mbps * 1e6 / 8)
+			bulk := store.NewBulk(client, rate)
+			l := ledger.New(client, bulk)
+			held := lead(t, l, "p1")
+			jobBytes := fill(t, l, c.jobs)
+			config := config(t, c.routes)
+			standin.WriteOperator("config", config)
+			standin.SetLinkRate(int(rate))
+			bytes := (float64(len(config)) + float64(jobBytes)) * 4 / 3
+			limit := time.Duration(slack*bytes/float64(rate)*float64(time.Second)) + 2*time.Second
+
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			reads, readCtx := errgroup.WithContext(ctx)
+			reads.Go(func() error { return watchUntilKnown(readCtx, client, bulk) })
+			reads.Go(func() error {
+				contents, err := l.NewLoad().Run(readCtx)
+				if err == nil && len(contents.Jobs) != c.jobs {
+					err = fmt.Errorf("%d of %d jobs", len(contents.Jobs), c.jobs)
+				}
+				return err
+			})
+			done := make(chan error, 1)
+			go func() { done <- reads.Wait() }()
+			for {
+				renewCtx, cancel := context.WithTimeout(ctx, renewal)
+				err := held.Renew(renewCtx)
+				cancel()
+				test.NoError(t, err)
+				select {
+				case err := <-done:
+					test.NoError(t, err)
+					return
+				case <-time.After(every):
+				}
+			}
+		})
+	}
+}
+
+func watchUntilKnown(ctx context.Context, client store.Store, bulk *store.Bulk) error {
+	w := &site.Watcher{
+		Store: client, Bulk: bulk, Logger: &log.Logger{Handler: discard.Default},
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+	}
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = w.Run(run) }() // ends with its context
+	for w.State().Config == nil {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("configuration: %w", ctx.Err())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// fill stores jobs and returns their size.
+func fill(t *testing.T, l *ledger.Ledger, jobs int) (bytes int) {
+	group, ctx := errgroup.WithContext(t.Context())
+	group.SetLimit(8)
+	for i := range uint64(jobs) {
+		j := &job.Job{
+			ID: fmt.Sprintf("%x%015x", i%16, i), Payload: strings.Repeat("x", 200),
+			Queue: job.Queue{Name: "q", Service: "desk"}, Steps: []job.Step{{Tasks: 6, CPU: 100}},
+		}
+		value, err := ledger.EncodeJob(j)
+		must.NoError(t, err)
+		// The names of a row take some hundred bytes.
+		bytes += len(value) + 100
+		group.Go(func() error { return l.Accept(ctx, j) })
+	}
+	must.NoError(t, group.Wait())
+	return bytes
+}
+
+func config(t *testing.T, routes int) []byte {
+	all := make([]map[string]any, routes)
+	for i := range all {
+		all[i] = map[string]any{
+			"name": fmt.Sprintf("route-%06d", i), "host": "a.example", "pathPrefix": fmt.Sprintf("/queue-%06d/", i),
+			"service": "desk", "priority": 1, "maxAttempts": 3, "stretch": 1.5, "sloMs": 1000,
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": 3, "routes": all, "services": []any{map[string]any{"name": "desk", "admissionCheck": true}},
+	})
+	must.NoError(t, err)
+	return value
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -31,17 +31,17 @@
 
 // Leader reads who leads, and where FollowTerm continues.
 func (l *Ledger) Leader(ctx context.Context) (Term, int64, error) {
-	rows, version, err := l.store.Read(ctx, store.Range{Table: termTable, Part: part})
+	page, err := l.store.Read(ctx, store.Range{Table: termTable, Part: part}, 1)
 	if err != nil {
 		return Term{}, 0, fmt.Errorf("read term: %w", err)
 	}
-	for _, row := range rows {
+	for _, row := range page.Rows {
 		if row.Key == leaderKey {
 			t, err := decodeTerm(row)
-			return t, version, err
+			return t, page.Version, err
 		}
 	}
-	return Term{}, version, nil
+	return Term{}, page.Version, nil
 }
 
 // Renewal returns a number that changes with each renewal of the term.
@@ -67,6 +67,9 @@
 type HeldTerm struct {
 	ledger *Ledger
 	Term   Term
+	// Renewed says that the term has been renewed by beginning it. One that was taken
+	// up may have begun long ago.
+	Renewed bool
 	// progress has the version of each job's row of progressTable.
 	progress map[string]int64
 	// doubtful is a transaction that may have been applied.
@@ -99,7 +102,7 @@
 	} else if err != nil {
 		return nil, fmt.Errorf("begin term %d: %w", t.Number, err)
 	}
-	return &HeldTerm{ledger: l, Term: t, progress: map[string]int64{}}, nil
+	return &HeldTerm{ledger: l, Term: t, Renewed: err == nil, progress: map[string]int64{}}, nil
 }
 
 func (h *HeldTerm) expectTerm() store.Expect {
@@ -140,15 +143,6 @@
 	return err
 }
 
-// Load reads all jobs, and remembers the versions that Commit relies on.
-func (h *HeldTerm) Load(ctx context.Context) (*Contents, error) {
-	c, err := h.ledger.Load(ctx)
-	if err == nil {
-		h.progress = c.progressVersions
-	}
-	return c, err
-}
-
 // MaxCommit is the most changes that Commit takes at once: each needs an
 // expected row and a write, and the term one more.
 const MaxCommit = (store.MaxTxEntries - 1) / 2
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -18,8 +19,10 @@
 	// followWait is how long a feed waits for a change. A feed may go silent, so it
 	// must not be much longer than what a change may take.
 	followWait = time.Second
-	// retryPause follows a failed call of the store.
-	retryPause = 200 * time.Millisecond
+	// firstRetryPause follows a failed call of the store; it doubles with each, up to
+	// maxRetryPause. Half of it is random: all entries fail at once.
+	firstRetryPause = 200 * time.Millisecond
+	maxRetryPause   = 800 * time.Millisecond
 )
 
 // Decode returns a state with one of the operators' rows applied.
@@ -27,7 +30,9 @@
 
 // Watcher follows what the operators decide.
 type Watcher struct {
-	Store  store.Store
+	Store store.Store
+	// Bulk reads the whole table.
+	Bulk   *store.Bulk
 	Logger log.Interface
 	// Table has the operators' rows; Decode reads one.
 	Table  string
@@ -46,38 +51,46 @@
 
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	loaded := false
+	var version int64
+	wait := firstRetryPause
 	for ctx.Err() == nil {
-		version, err := w.load(ctx)
-		for err == nil {
-			var rows []store.Row
-			rows, version, err = w.Store.Feed(ctx, w.Table, version, followWait)
-			w.apply(w.State(), rows)
-		}
-		if errors.Is(err, store.ErrForgotten) {
+		next, err := w.next(ctx, loaded, version)
+		switch {
+		case err == nil:
+			loaded, version, wait = true, next, firstRetryPause
+			continue
+		case errors.Is(err, store.ErrForgotten):
 			w.Logger.Warn("store has dropped the history of the operators' rows; reading them whole")
+			loaded = false
 			continue
+		case ctx.Err() == nil:
+			w.Logger.WithError(err).WithField("loaded", loaded).Warn("operators' rows cannot be followed")
 		}
-		if ctx.Err() == nil {
-			w.Logger.WithError(err).Warn("operators' rows cannot be followed")
-		}
-		timer := time.NewTimer(retryPause)
 		select {
 		case <-ctx.Done():
-		case <-timer.C:
+		case <-time.After(wait/2 + rand.N(wait/2)):
 		}
-		timer.Stop()
+		wait = min(2*wait, maxRetryPause)
 	}
 	return ctx.Err()
 }
 
-// load reads all rows. The configuration never goes back to an older version.
-func (w *Watcher) load(ctx context.Context) (int64, error) {
-	rows, version, err := w.Store.Read(ctx, store.Range{Table: w.Table})
-	if err != nil {
-		return 0, err
+// next takes what has changed since a version, or all rows if none are known yet. The
+// configuration never goes back to an older version.
+func (w *Watcher) next(ctx context.Context, loaded bool, version int64) (int64, error) {
+	if !loaded {
+		rows, version, err := w.Bulk.ReadAll(ctx, store.Range{Table: w.Table})
+		if err == nil {
+			w.apply(&State{Config: w.State().Config}, rows)
+		}
+		return version, err
+	}
+	rows, version, err := w.Store.Feed(ctx, w.Table, version, followWait)
+	if err == nil {
+		w.apply(w.State(), rows)
 	}
-	w.apply(&State{Config: w.State().Config}, rows)
-	return version, nil
+	return version, err
 }
 
 func (w *Watcher) apply(state *State, rows []store.Row) {
--- /dev/null
+++ b/internal/site/watch_test.go
@@ -0,0 +1,78 @@
+package site_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test"
+
+	"bamboowood/internal/site"
+	"bamboowood/internal/store"
+)
+
+// flakyStore answers the feeds with errors, and counts whole reads.
+type flakyStore struct {
+	store.Store
+	mu     sync.Mutex
+	feeds  []error
+	afters []int64
+	reads  int
+}
+
+func (s *flakyStore) Read(context.Context, store.Range, int) (store.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return store.Page{Version: int64(10 * s.reads)}, nil
+}
+
+func (s *flakyStore) Feed(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.afters = append(s.afters, after)
+	if len(s.feeds) == 0 {
+		time.Sleep(wait)
+		return nil, after, ctx.Err()
+	}
+	err := s.feeds[0]
+	s.feeds = s.feeds[1:]
+	return nil, after + 1, err
+}
+
+func watch(t *testing.T, s *flakyStore, lasts time.Duration) {
+	w := &site.Watcher{
+		Store: s, Bulk: store.NewBulk(s, 0), Logger: &log.Logger{Handler: discard.Default}, Table: "op",
+		Decode: func(state *site.State, _ store.Row) (*site.State, error) { return state, nil },
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), lasts)
+	defer cancel()
+	test.ErrorIs(t, w.Run(ctx), context.DeadlineExceeded)
+}
+
+// A feed that is cut goes on where it was: reading the table again would fill a slow
+// link for everyone, and be cut too.
+func TestWatcher_CutFeedGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cut := errors.New("connection reset")
+		s := &flakyStore{feeds: []error{nil, cut, cut, nil}}
+		watch(t, s, 4*time.Second)
+		test.Eq(t, 1, s.reads)
+		test.Eq(t, []int64{10, 11, 11, 11, 12}, s.afters[:5])
+	})
+}
+
+// Without its history, the store has to be read again.
+func TestWatcher_ForgottenHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &flakyStore{feeds: []error{nil, store.ErrForgotten, nil}}
+		watch(t, s, 4*time.Second)
+		test.Eq(t, 2, s.reads)
+		test.Eq(t, []int64{10, 11, 20, 21}, s.afters[:4])
+	})
+}
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -81,11 +81,11 @@
 }
 
 // Read implements Store.
-func (h *Health) Read(ctx context.Context, r Range) ([]Row, int64, error) {
+func (h *Health) Read(ctx context.Context, r Range, limit int) (Page, error) {
 	began := time.Now()
-	rows, version, err := h.store.Read(ctx, r)
+	page, err := h.store.Read(ctx, r, limit)
 	h.note(began, err)
-	return rows, version, err
+	return page, err
 }
 
 // Feed implements Store.
--- a/internal/store/health_test.go
+++ b/internal/store/health_test.go
@@ -34,8 +34,8 @@
 
 func (s *silentStore) Apply(ctx context.Context, _ store.Tx) (int64, error) { return 1, s.call(ctx) }
 
-func (s *silentStore) Read(ctx context.Context, _ store.Range) ([]store.Row, int64, error) {
-	return nil, 1, s.call(ctx)
+func (s *silentStore) Read(ctx context.Context, _ store.Range, _ int) (store.Page, error) {
+	return store.Page{Version: 1}, s.call(ctx)
 }
 
 func (s *silentStore) Feed(ctx context.Context, _ string, _ int64, wait time.Duration) ([]store.Row, int64, error) {
@@ -64,7 +64,7 @@
 		inner.silent = false
 		_, err = fast.Apply(t.Context(), store.Tx{})
 		test.ErrorIs(t, err, store.ErrRefused, test.Sprint("nobody has seen it answer"))
-		_, _, err = h.Read(t.Context(), store.Range{})
+		_, err = h.Read(t.Context(), store.Range{}, 1)
 		must.NoError(t, err)
 		_, err = fast.Apply(t.Context(), store.Tx{})
 		test.NoError(t, err)
@@ -99,7 +99,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				inner := &silentStore{silent: true}
 				h := store.NewHealth(inner, func(bool, time.Duration) {})
-				_, _, _ = h.Read(t.Context(), store.Range{})
+				_, _ = h.Read(t.Context(), store.Range{}, 1)
 				test.Positive(t, h.Unanswered())
 				inner.silent, inner.err = false, err
 				_, _ = h.Apply(t.Context(), store.Tx{})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -82,13 +82,23 @@
 	From, To string
 }
 
+// Page is the beginning of a range.
+type Page struct {
+	// Rows are in order of their keys.
+	Rows []Row
+	// More says that the range has further rows.
+	More bool
+	// Version is one from which Feed continues without a gap.
+	Version int64
+}
+
 // Store is the platform's tables. Calls are bounded by ctx.
 type Store interface {
 	// Apply returns the version that the transaction gave its rows.
 	Apply(ctx context.Context, tx Tx) (version int64, err error)
-	// Read returns all rows of the range, in order of their keys, and a version
-	// from which Feed continues without a gap.
-	Read(ctx context.Context, r Range) (rows []Row, version int64, err error)
+	// Read returns the first rows of the range, at most limit of them and no more than
+	// the store gives at once.
+	Read(ctx context.Context, r Range, limit int) (Page, error)
 	// Feed returns the rows of a table that changed after a version, as soon as
 	// there is one or wait has passed, and the version to continue from.
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error)
