--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,6 +49,8 @@
 
 	mu      sync.Mutex
 	term    int64
+	// leader is where the leader of that term is reached.
+	leader  string
 	current wire.Session
 	// heard is when the last leader's session ended.
 	heard time.Duration
@@ -100,9 +102,9 @@
 	if err := stream.Recv(&hello); err != nil {
 		return err
 	}
-	if later := f.adopt(session, hello.Term); later != 0 {
+	if later, leader := f.adopt(session, &hello); later != 0 {
 		f.opts.Logger.WithFields(log.Fields{"term": hello.Term, "later_term": later}).Warn("leader of an old term refused")
-		if err := stream.Send(&wirepb.AgentMessage{LaterTerm: later}); err != nil {
+		if err := stream.Send(&wirepb.AgentMessage{LaterTerm: later, LaterLeader: leader}); err != nil {
 			return err
 		}
 		// The leader closes the session once it has read that. Closing it here could
@@ -118,20 +120,20 @@
 	return f.receive(ctx, session, stream)
 }
 
-// adopt makes a session the current one, unless a later term is known, which it
-// returns.
-func (f *Follower) adopt(session wire.Session, term int64) (later int64) {
+// adopt makes a session the current one, unless a later term is known, which it returns
+// with its leader.
+func (f *Follower) adopt(session wire.Session, hello *wirepb.LeaderMessage) (later int64, leader string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if term < f.term {
-		return f.term
+	if hello.Term < f.term {
+		return f.term, f.leader
 	}
-	f.term = term
+	f.term, f.leader = hello.Term, hello.Leader
 	if f.current != nil {
 		_ = f.current.Close()
 	}
 	f.current = session
-	return 0
+	return 0, ""
 }
 
 func (f *Follower) release(session wire.Session) {
@@ -191,7 +193,10 @@
 	}
 	for _, o := range m.Starts {
 		if d := f.details([]*wirepb.RunDetails{o.Details}); len(d) == 1 {
-			s.Start(ctx, supervisor.Order{Details: d[0], Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
+			s.Start(ctx, supervisor.Order{
+				Details: d[0], Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+				ValidUntil: time.Duration(o.ValidUntil),
+			})
 		}
 	}
 	return true
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -137,3 +137,46 @@
 	defer r.mu.Unlock()
 	test.Eq(t, 3, r.active[1].Run.Number)
 }
+
+// An order that was held up until its leader's permission had run out is not carried
+// out, and the leader is told that the run does not exist.
+func TestFollower_OrderTooLate(t *testing.T) {
+	address, r := agent(t)
+	stream := leads(t, address, 5)
+	followed(t, stream)
+	late, inTime := start(1), start(2)
+	late.Starts[0].ValidUntil = int64(boottime.Now() - time.Millisecond)
+	inTime.Starts[0].ValidUntil = int64(boottime.Now() + time.Minute)
+	must.NoError(t, stream.Send(late))
+	must.NoError(t, stream.Send(inTime))
+	for {
+		var m wirepb.AgentMessage
+		must.NoError(t, stream.Recv(&m))
+		if len(m.Refusals) > 0 {
+			test.Eq(t, string(runner.RefusedLate), m.Refusals[0].Reason)
+			test.Eq(t, 1, m.Refusals[0].Run.Number)
+			break
+		}
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return r.runs() == 1 }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	test.Eq(t, 2, r.active[0].Run.Number)
+}
+
+// A refused leader learns who leads now: it may not be able to reach the store.
+func TestFollower_TellsLaterLeader(t *testing.T) {
+	address, _ := agent(t)
+	session, err := wire.Dial(t.Context(), address, nil)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	current, err := session.Open(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, current.Send(&wirepb.LeaderMessage{Term: 7, Leader: "10.0.0.7:1"}))
+	followed(t, current)
+	var m wirepb.AgentMessage
+	must.NoError(t, leads(t, address, 6).Recv(&m))
+	test.Eq(t, 7, m.LaterTerm)
+	test.Eq(t, "10.0.0.7:1", m.LaterLeader)
+}
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// hear takes what an agent says of a later term, for a process that cannot reach the
+// store.
+func (l *Leader) hear(term ledger.Term) {
+	if term.Number > l.term.Load().Number && term.Leader != "" {
+		l.observe(term)
+	}
+}
+
 // vacant says whether nobody leads for certain: there was no term, its leader
 // has resigned, or was an earlier process at this address.
 func (l *Leader) vacant(term ledger.Term) bool {
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -33,9 +33,10 @@
 
 // leadership is a term that this process leads.
 type leadership struct {
-	opts Options
-	term *ledger.HeldTerm
-	ctx  context.Context
+	leader *Leader
+	opts   Options
+	term   *ledger.HeldTerm
+	ctx    context.Context
 
 	mu      sync.Mutex
 	planner *planner.Planner
@@ -64,7 +65,7 @@
 	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
-		opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
+		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
 		renewed: sent,
 		plan:    make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
@@ -77,7 +78,7 @@
 	takeovers.Inc()
 	defer l.leadership.Store(nil)
 	group.Go(r.renewLoop)
-	group.Go(func() error { return r.begin(l) })
+	group.Go(r.begin)
 	err := group.Wait()
 	opts.Logger.WithError(err).Info("leading no more")
 	if ctx.Err() != nil {
@@ -90,7 +91,7 @@
 }
 
 // begin reads what the store has and then begins to plan.
-func (r *leadership) begin(l *Leader) error {
+func (r *leadership) begin() error {
 	began := r.opts.Now()
 	agents, agentsVersion, err := readUntilDone(r, "agents", func() (map[string]string, int64, error) {
 		return r.opts.Ledger.Agents(r.ctx)
@@ -116,7 +117,7 @@
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": len(contents.Jobs), "agents": len(agents), "took": (r.opts.Now() - began).String(),
 	}).Info("leading")
-	l.leadership.Store(r)
+	r.leader.leadership.Store(r)
 	r.group.Go(r.planLoop)
 	r.group.Go(r.commitLoop)
 	r.group.Go(func() error { return r.followJobs(version) })
--- /dev/null
+++ b/internal/leader/leadership_test.go
@@ -0,0 +1,326 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/site"
+	"bamboowood/internal/store"
+	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
+	"bamboowood/platform"
+	"bamboowood/platform/platformtest"
+)
+
+// fakeAgent follows any leader, with a runner that has room for everything. It keeps all
+// messages with the time at which they came.
+type fakeAgent struct {
+	address string
+	mu      sync.Mutex
+	active  []*wirepb.RunActivity
+	got     []agentNews
+}
+
+type agentNews struct {
+	at      time.Duration
+	message *wirepb.LeaderMessage
+}
+
+func newFakeAgent(t *testing.T, active ...job.Run) *fakeAgent {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	a := &fakeAgent{address: ln.Addr().String()}
+	for _, run := range active {
+		a.active = append(a.active, &wirepb.RunActivity{Run: wire.RunRef(run)})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(ctx, conn)
+		}
+	}()
+	return a
+}
+
+func (a *fakeAgent) serve(ctx context.Context, conn net.Conn) {
+	session, err := wire.NewServerSession(conn)
+	if err != nil {
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Accept(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		for first := true; ctx.Err() == nil; first = false {
+			m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: first}
+			if first {
+				m.Active = a.active
+				m.Runner = wire.RunnerInfo(&job.Runner{
+					ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
+				})
+			}
+			if stream.Send(m) != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	for {
+		var m wirepb.LeaderMessage
+		if stream.Recv(&m) != nil {
+			return
+		}
+		a.mu.Lock()
+		a.got = append(a.got, agentNews{boottime.Now(), &m})
+		a.mu.Unlock()
+	}
+}
+
+// first waits for a message that fits.
+func (a *fakeAgent) first(t *testing.T, fits func(*wirepb.LeaderMessage) bool) agentNews {
+	var found agentNews
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, n := range a.got {
+			if fits(n.message) {
+				found = n
+				return true
+			}
+		}
+		return false
+	}), wait.Timeout(8*time.Second), wait.Gap(5*time.Millisecond)))
+	return found
+}
+
+func (a *fakeAgent) count(fits func(*wirepb.LeaderMessage) bool) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, news := range a.got {
+		if fits(news.message) {
+			n++
+		}
+	}
+	return n
+}
+
+func grants(m *wirepb.LeaderMessage) bool { return m.Grant != nil }
+func starts(m *wirepb.LeaderMessage) bool { return len(m.Starts) > 0 }
+func stops(m *wirepb.LeaderMessage) bool  { return len(m.Stops) > 0 }
+
+// gate passes calls on to a store; each may be held up.
+type gate struct {
+	store.Store
+	// apply and read, where they are set, are called before a call is passed on.
+	apply func(store.Tx) error
+	read  func(store.Range) error
+}
+
+func (g *gate) Apply(ctx context.Context, tx store.Tx) (int64, error) {
+	if g.apply != nil {
+		if err := g.apply(tx); err != nil {
+			return 0, err
+		}
+	}
+	return g.Store.Apply(ctx, tx)
+}
+
+func (g *gate) Read(ctx context.Context, r store.Range, limit int) (store.Page, error) {
+	if g.read != nil {
+		if err := g.read(r); err != nil {
+			return store.Page{}, err
+		}
+	}
+	return g.Store.Read(ctx, r, limit)
+}
+
+func newGate(t *testing.T) (*gate, *platformtest.Store) {
+	standin := platformtest.NewStore()
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return &gate{Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"))}, standin
+}
+
+func bookOf(g *gate) *ledger.Ledger { return ledger.New(g, store.NewBulk(g, 0)) }
+
+// runLeader runs a leader until the test ends or stop is called.
+func runLeader(t *testing.T, book *ledger.Ledger) (l *Leader, stop func()) {
+	config := &site.Config{Services: map[string]site.Service{"desk": {Name: "desk", ChecksRoom: true}}}
+	l = New(Options{
+		Ledger: book, CallersLedger: book, Logger: &log.Logger{Handler: discard.Default},
+		Address: "10.0.0.1:1", Process: "p1",
+		Site: func() *site.State { return &site.State{Config: config} },
+		Now:  boottime.Now, Hold: 5 * time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = l.Run(ctx) // ends with its context
+		close(done)
+	}()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return l, stop
+}
+
+func testJob(n int) *job.Job {
+	return &job.Job{
+		ID: fmt.Sprintf("%016x", n), AcceptedAt: time.Now(),
+		Queue: job.Queue{Name: "q", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: time.Second},
+		Steps: []job.Step{{Tasks: 1, CPU: 100, MemoryMB: 10, Estimate: time.Second}},
+	}
+}
+
+func termOf(tx store.Tx) bool {
+	for _, w := range tx.Writes {
+		if w.Key.Table == "term" {
+			return true
+		}
+	}
+	return false
+}
+
+// A start says until when it may be carried out: no later than the lease of the leader's
+// last renewal lasts.
+func TestLeader_StartsLapseWithTheRenewal(t *testing.T) {
+	g, _ := newGate(t)
+	book := bookOf(g)
+	a := newFakeAgent(t)
+	must.NoError(t, book.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, book.Accept(t.Context(), testJob(1)))
+	runLeader(t, book)
+	order := a.first(t, starts)
+	until := time.Duration(order.message.Starts[0].ValidUntil)
+	test.Greater(t, order.at, until)
+	test.LessEq(t, order.at+startLease, until)
+}
+
+// The call that began the term counts from when it was sent: another entry may have seen
+// the renewal that it wrote long before the answer came.
+func TestLeader_SlowBeginCountsFromItsCall(t *testing.T) {
+	g, _ := newGate(t)
+	var mu sync.Mutex
+	var began time.Duration
+	renewals := 0
+	g.apply = func(tx store.Tx) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if termOf(tx) {
+			began = boottime.Now()
+			time.Sleep(600 * time.Millisecond)
+			return nil
+		}
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
+			renewals++
+			return store.ErrRefused
+		}
+		return nil
+	}
+	book := bookOf(g)
+	a := newFakeAgent(t)
+	must.NoError(t, book.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, book.Accept(t.Context(), testJob(1)))
+	runLeader(t, book)
+	order := a.first(t, starts)
+	mu.Lock()
+	defer mu.Unlock()
+	test.LessEq(t, began+startLease, time.Duration(order.message.Starts[0].ValidUntil))
+}
+
+// A term whose beginning got no answer is taken up later, when its renewal may be about
+// to be given up by the others: nothing is started or leased before it is renewed.
+func TestLeader_TakenUpTermIsRenewedFirst(t *testing.T) {
+	g, _ := newGate(t)
+	book := bookOf(g)
+	_, err := book.Lead(t.Context(), ledger.Term{}, "10.0.0.1:1", "p1")
+	must.NoError(t, err)
+	allowed := make(chan struct{})
+	g.apply = func(tx store.Tx) error {
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
+			select {
+			case <-allowed:
+			default:
+				return store.ErrRefused
+			}
+		}
+		return nil
+	}
+	a := newFakeAgent(t)
+	must.NoError(t, book.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, book.Accept(t.Context(), testJob(1)))
+	l, _ := runLeader(t, book)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	time.Sleep(800 * time.Millisecond)
+	test.Zero(t, a.count(starts))
+	test.Zero(t, a.count(grants))
+	close(allowed)
+	a.first(t, starts)
+	a.first(t, grants)
+}
+
+// While the ledger is being read for longer than other entries wait for a renewal, the
+// term is renewed, agents get their leases, and no run is stopped as unknown.
+func TestPattern_LongLoad(t *testing.T) {
+	g, standin := newGate(t)
+	const loads = takeoverAfter + time.Second
+	var once sync.Once
+	g.read = func(r store.Range) error {
+		if r.Table == "jobs" && r.Part == "5" && r.From == "" {
+			once.Do(func() { time.Sleep(loads) })
+		}
+		return nil
+	}
+	book := bookOf(g)
+	j := testJob(1)
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: j.ID}, Number: 1})
+	must.NoError(t, book.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, book.Accept(t.Context(), j))
+	must.NoError(t, book.Accept(t.Context(), testJob(2)))
+	calls := standin.Calls()
+	l, _ := runLeader(t, book)
+	time.Sleep(loads - 500*time.Millisecond)
+	test.False(t, l.Leading())
+	test.Greater(t, 10, a.count(grants))
+	renewal, err := book.Renewal(t.Context())
+	must.NoError(t, err)
+	time.Sleep(2 * renewInterval)
+	later, err := book.Renewal(t.Context())
+	must.NoError(t, err)
+	test.Greater(t, renewal, later)
+	order := a.first(t, starts)
+	started, err := wire.Run(order.message.Starts[0].Details.Run)
+	must.NoError(t, err)
+	test.Eq(t, testJob(2).ID, started.Task.Job)
+	test.Zero(t, a.count(stops))
+	test.Less(t, 200, standin.Calls()-calls)
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
 	"bamboowood/internal/planner"
 	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
@@ -43,6 +44,9 @@
 	address    string
 	// granted is when the last lease was granted.
 	granted time.Duration
+	// beat is the agent's clock when it sent its last beat, beatAt this process's when it
+	// came.
+	beat, beatAt time.Duration
 	taken   endMark
 	acked   endMark
 	// held has the messages that came before the planner had the ledger's jobs.
@@ -118,6 +122,7 @@
 			return connected, err
 		}
 		if m.LaterTerm > r.term.Term.Number {
+			r.leader.hear(ledger.Term{Number: m.LaterTerm, Leader: m.LaterLeader})
 			return connected, errLaterTerm
 		}
 		k.receive(&m, connected)
@@ -211,6 +216,9 @@
 	if m.Snapshot || connected {
 		k.take(now, m)
 	}
+	if m.Beat != 0 {
+		k.beat, k.beatAt = time.Duration(m.Beat), now
+	}
 	if m.Beat != 0 && now < r.renewed+grantLease {
 		k.granted = now
 		k.send(func(out *wirepb.LeaderMessage) {
@@ -282,11 +290,15 @@
 	}
 }
 
+// start orders a start. An order may be held up on its way, or this process before it
+// sends it, so the agent is told until when it may be carried out. The agent's clock may
+// only be further on than the last beat and the time since it came.
 func (k *link) start(o planner.Start) {
+	until := k.beat + k.leadership.renewed + startLease - k.beatAt
 	k.send(func(out *wirepb.LeaderMessage) {
 		out.Starts = append(out.Starts, &wirepb.StartOrder{
 			Details: details(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
-			Ticket: o.Ticket,
+			Ticket: o.Ticket, ValidUntil: int64(until),
 		})
 	})
 }
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -157,6 +157,8 @@
 	RefusedRoom RefusalReason = "room"
 	// RefusedTicket means that the ticket was missing or not valid any more.
 	RefusedTicket RefusalReason = "ticket"
+	// RefusedLate means that the order came too late to be carried out.
+	RefusedLate RefusalReason = "late"
 )
 
 // Refused says that an order to start a run had no effect and will have none.
@@ -174,6 +176,8 @@
 	case reason == RefusedTicket && r.step.advice != nil && a.runner != nil:
 		// It was valid for another life of the runner, or has expired on the way.
 		delete(r.step.advice.tickets, a.runner.ID)
+	case reason == RefusedLate:
+		// The way there was slow, not the runner.
 	default:
 		a.health.setback(now)
 	}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -51,8 +51,12 @@
 			s.mu.Unlock()
 			break
 		}
-		if lease == 0 {
+		if now := s.opts.Now(); lease == 0 || o.expired(now) {
 			if !sent {
+				s.opts.Logger.WithFields(log.Fields{
+					"task": o.Details.Run.Task.String(), "run": o.Details.Run.Number, "leased": lease != 0,
+					"late_ms": (now - o.ValidUntil).Milliseconds(),
+				}).Warn("order to start came too late")
 				s.gone(o.Details.Run, runner.RefusedLate)
 			}
 			s.mu.Unlock()
@@ -75,6 +79,9 @@
 	}
 }
 
+// expired says that whoever gave the order may not have been the leader any more.
+func (o Order) expired(now time.Duration) bool { return o.ValidUntil != 0 && now >= o.ValidUntil }
+
 // startAnswered handles one answer and says whether it settles the order. sent
 // says that an earlier try may have been carried out.
 func (s *Supervisor) startAnswered(
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -33,6 +33,8 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	// ValidUntil is when the order lapses, on the clock of the options; 0 if it does not.
+	ValidUntil time.Duration
 }
 
 // Details is what the supervisor needs to know of a run besides starting it.
