--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -47,8 +47,8 @@
 type Follower struct {
 	opts Options
 
-	mu      sync.Mutex
-	term    int64
+	mu   sync.Mutex
+	term int64
 	// leader is where the leader of that term is reached.
 	leader  string
 	current wire.Session
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -47,8 +47,8 @@
 	// beat is the agent's clock when it sent its last beat, beatAt this process's when it
 	// came.
 	beat, beatAt time.Duration
-	taken   endMark
-	acked   endMark
+	taken        endMark
+	acked        endMark
 	// held has the messages that came before the planner had the ledger's jobs.
 	held []*wirepb.AgentMessage
 
