leader: a cancel is kept until its job is known or the ledger says that there is none

Cause: jobs and cancels come through two feeds, of which a slow store delays one by seconds; a cancel without its job was tried once more after 250 ms and then dropped, though the caller was told that it is taken. The job then ran to its end. Change: the leader reads such a job from the ledger, and keeps the cancel until that has succeeded. Before and after: TestLeader_CancelOvertakesItsJob fails with the earlier handling.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -83,6 +83,10 @@
 				"job": j.ID, "queue": j.Queue.Name, "age_ms": now.Wall.Sub(j.AcceptedAt).Milliseconds(),
 			}).Info("job known")
 		}
+		if r.early[j.ID] {
+			delete(r.early, j.ID)
+			r.planner.Cancel(now.Mono, j.ID)
+		}
 	}
 	for _, id := range c.Cancels {
 		if !r.planner.Cancel(now.Mono, id) {
@@ -93,16 +97,29 @@
 	r.changed()
 }
 
-// earlyCancel handles a cancel that overtook its job in the feeds.
+// earlyCancel keeps a cancel that overtook its job until the job is known or the ledger
+// says that there is none: whoever cancelled was told that it is taken. It is called with
+// the lock held.
 func (r *leadership) earlyCancel(id string) {
+	if r.early[id] {
+		return
+	}
+	r.early[id] = true
 	r.group.Go(func() error {
-		pause(r.ctx, retryPause)
+		c, _, err := readUntilDone(r, "cancelled job", func() (*ledger.Contents, int64, error) {
+			c, err := r.opts.Ledger.Find(r.ctx, id)
+			return c, 0, err
+		})
+		if err != nil {
+			return nil // the term has ended; the next leader reads all cancels
+		}
+		r.take(c)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if !r.planner.Cancel(r.opts.Now(), id) {
-			r.opts.Logger.WithField("job", id).Info("cancel of a job that is not known")
+		if r.early[id] {
+			delete(r.early, id)
+			r.opts.Logger.WithField("job", id).Info("cancel of a job that the ledger does not have")
 		}
-		r.changed()
 		return nil
 	})
 }
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -44,6 +44,8 @@
 	// restored says that the planner has the ledger's jobs. Until then it must not learn
 	// of runs, since it would stop those whose jobs it does not know.
 	restored bool
+	// early has the cancels of jobs that the planner does not know yet.
+	early map[string]bool
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
@@ -66,7 +68,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
-		renewed: sent,
+		renewed: sent, early: map[string]bool{},
 		plan:    make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
 	}
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -140,6 +140,14 @@
 	// apply and read, where they are set, are called before a call is passed on.
 	apply func(store.Tx) error
 	read  func(store.Range) error
+	feed  func(table string)
+}
+
+func (g *gate) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+	if g.feed != nil {
+		g.feed(table)
+	}
+	return g.Store.Feed(ctx, table, after, wait)
 }
 
 func (g *gate) Apply(ctx context.Context, tx store.Tx) (int64, error) {
@@ -324,3 +332,38 @@
 	test.Zero(t, a.count(stops))
 	test.Less(t, 200, standin.Calls()-calls)
 }
+
+// A cancel that overtakes its job by seconds, as the feeds of a slow store may bring
+// them, holds: the job is never started. One of a job that the ledger does not have is
+// forgotten.
+func TestLeader_CancelOvertakesItsJob(t *testing.T) {
+	g, _ := newGate(t)
+	var held sync.Once
+	release := make(chan struct{})
+	g.feed = func(table string) {
+		if table == "jobs" {
+			held.Do(func() { <-release })
+		}
+	}
+	book := bookOf(g)
+	a := newFakeAgent(t)
+	must.NoError(t, book.RegisterAgent(t.Context(), "a", a.address))
+	l, _ := runLeader(t, book)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	j, absent := testJob(1), testJob(2)
+	must.NoError(t, book.Accept(t.Context(), j))
+	must.NoError(t, book.Cancel(t.Context(), j.ID))
+	must.NoError(t, book.Cancel(t.Context(), absent.ID))
+	time.Sleep(3 * retryPause)
+	close(release)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		state, known, _ := l.Status(j.ID)
+		return known && state == job.Cancelled
+	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	time.Sleep(retryPause)
+	test.Zero(t, a.count(starts))
+	r := l.leadership.Load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	test.MapEmpty(t, r.early)
+}
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -131,6 +131,25 @@
 	return c
 }
 
+// Find reads what the ledger has of one job; the contents have no job if there is none.
+func (l *Ledger) Find(ctx context.Context, id string) (*Contents, error) {
+	d := Load{ledger: l, hasProgress: true}
+	for i := range d.jobs {
+		d.jobs[i], d.cancels[i] = &rowsOfPart{}, &rowsOfPart{}
+	}
+	if row, err := l.readOne(ctx, key(progressTable, id)); err != nil {
+		return nil, fmt.Errorf("read progress: %w", err)
+	} else if row != nil {
+		d.progress = []store.Row{*row}
+	}
+	if row, err := l.readOne(ctx, jobKey(jobTable, id)); err != nil {
+		return nil, fmt.Errorf("read job: %w", err)
+	} else if row != nil {
+		d.jobs[0].rows = []store.Row{*row}
+	}
+	return d.contents(), nil
+}
+
 // Use remembers the versions of the progress that a load has read; Commit relies on
 // them.
 func (h *HeldTerm) Use(c *Contents) { h.progress = c.progressVersions }
