--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -69,7 +69,7 @@
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
 		renewed: sent, early: map[string]bool{},
-		plan:    make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
+		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
 	}
 	if !term.Renewed {
