leader, follower, planner: a job's payload goes to an agent once; starts are bounded by the link

A trial that counts bytes: of the leader's 250 KB/s, all that its link of 2 Mbit/s carries, 95% were payloads of starts. The starts of one job on one agent repeat it 2.5 times on average. Renewals, leases and other entries' writes waited behind them for seconds, the leadership changed, and every change began anew. At full size 600 starts/s would fill links of 10 Mbit/s alike.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -131,7 +131,7 @@
 	lead := leader.New(leader.Options{
 		Advisor: advisor,
 		Ledger:  book, CallersLedger: callersBook, Logger: n.logger, Address: n.peerAddress(), Process: uuid.NewString(),
-		Site: sites.State, Now: boottime.Now, Hold: n.hold(),
+		Site: sites.State, Now: boottime.Now, Hold: n.hold(), LinkRate: n.node.LinkRate,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.Early, KeepEnded: n.node.Bounds.Keep,
 			RemoteFactor: n.node.Bounds.RemoteFactor,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -50,8 +50,10 @@
 	mu   sync.Mutex
 	term int64
 	// leader is where the leader of that term is reached.
-	leader  string
-	current wire.Session
+	leader string
+	// payloads are those that the current session has brought.
+	payloads *wire.Payloads
+	current  wire.Session
 	// heard is when the last leader's session ended.
 	heard time.Duration
 }
@@ -132,7 +134,7 @@
 	if f.current != nil {
 		_ = f.current.Close()
 	}
-	f.current = session
+	f.current, f.payloads = session, wire.NewPayloads()
 	return 0, ""
 }
 
@@ -155,19 +157,24 @@
 		if err := stream.Recv(&m); err != nil {
 			return err
 		}
-		if !f.take(ctx, session, &m) {
-			return errors.New("replaced by another session")
+		if err := f.take(ctx, session, &m); err != nil {
+			return err
 		}
 	}
 }
 
+var (
+	errReplaced  = errors.New("replaced by another session")
+	errNoPayload = errors.New("payload of a start is not known")
+)
+
 // take carries out a message if its session is still the current one. The lock
 // is held, so that no order of an old session follows the snapshot of a new one.
-func (f *Follower) take(ctx context.Context, session wire.Session, m *wirepb.LeaderMessage) bool {
+func (f *Follower) take(ctx context.Context, session wire.Session, m *wirepb.LeaderMessage) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != session {
-		return false
+		return errReplaced
 	}
 	s := f.opts.Supervisor
 	if g := m.Grant; g != nil {
@@ -193,13 +200,26 @@
 	}
 	for _, o := range m.Starts {
 		if d := f.details([]*wirepb.RunDetails{o.Details}); len(d) == 1 {
+			payload, known := f.payload(d[0].Run.Task.Job, o)
+			if !known {
+				// The next session begins with the leader's whole knowledge of this agent.
+				return fmt.Errorf("%s: %w", d[0].Run.Task, errNoPayload)
+			}
 			s.Start(ctx, supervisor.Order{
-				Details: d[0], Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+				Details: d[0], Payload: payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 				ValidUntil: time.Duration(o.ValidUntil),
 			})
 		}
 	}
-	return true
+	return nil
+}
+
+func (f *Follower) payload(job string, o *wirepb.StartOrder) (payload string, known bool) {
+	if o.SamePayload {
+		return f.payloads.Get(job)
+	}
+	f.payloads.Keep(job, o.Payload)
+	return o.Payload, true
 }
 
 func (f *Follower) details(in []*wirepb.RunDetails) []supervisor.Details {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -25,13 +25,16 @@
 type fakeRunner struct {
 	mu     sync.Mutex
 	active []job.Activity
-	began  time.Time
+	// payloads are those of the starts, in their order.
+	payloads []string
+	began    time.Time
 }
 
 func (f *fakeRunner) Start(_ context.Context, _ runner.Fence, o runner.StartOrder) (runner.Refusal, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.active = append(f.active, job.Activity{Run: o.Run})
+	f.payloads = append(f.payloads, o.Payload)
 	return "", time.Since(f.began), nil
 }
 
@@ -180,3 +183,33 @@
 	test.Eq(t, 7, m.LaterTerm)
 	test.Eq(t, "10.0.0.7:1", m.LaterLeader)
 }
+
+// A further start of a job comes without its payload. One of which the payload is not
+// known ends the session and starts nothing.
+func TestFollower_PayloadOnce(t *testing.T) {
+	address, r := agent(t)
+	stream := leads(t, address, 5)
+	followed(t, stream)
+	first, second := start(1), start(2)
+	first.Starts[0].Payload = "p"
+	second.Starts[0].SamePayload = true
+	must.NoError(t, stream.Send(first))
+	must.NoError(t, stream.Send(second))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return r.runs() == 2 }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	r.mu.Lock()
+	test.Eq(t, []string{"p", "p"}, r.payloads)
+	r.mu.Unlock()
+
+	next := leads(t, address, 5)
+	followed(t, next)
+	unknown := start(3)
+	unknown.Starts[0].SamePayload = true
+	must.NoError(t, next.Send(unknown))
+	var err error
+	for err == nil {
+		var m wirepb.AgentMessage
+		err = next.Recv(&m)
+	}
+	test.Eq(t, 2, r.runs())
+}
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -58,8 +58,10 @@
 	// Advisor knows which runners may run a step; nil if there is none.
 	Advisor Advisor
 	// Hold is the lease that agents get.
-	Hold    time.Duration
-	Planner planner.Options
+	Hold time.Duration
+	// LinkRate is what this machine's link carries, in bytes a second; 0 if not known.
+	LinkRate int64
+	Planner  planner.Options
 }
 
 // Advisor tells which of the runners may run the task's step: their tickets by runner,
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -45,7 +45,8 @@
 	// of runs, since it would stop those whose jobs it does not know.
 	restored bool
 	// early has the cancels of jobs that the planner does not know yet.
-	early map[string]bool
+	early  map[string]bool
+	budget budget
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
@@ -68,7 +69,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
-		renewed: sent, early: map[string]bool{},
+		renewed: sent, early: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -253,6 +254,7 @@
 		last = now
 		r.planner.SetSite(r.opts.Site())
 		began := time.Now()
+		r.planner.SetStartBudget(r.budget.left(now))
 		orders := r.planner.Plan(r.instant(), now < r.renewed+startLease)
 		planSeconds.UpdateDuration(began)
 		countOrders(orders)
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -54,7 +54,9 @@
 
 	outMu sync.Mutex
 	out   *wirepb.LeaderMessage
-	ready chan struct{}
+	// payloads are those that the session has sent.
+	payloads *wire.Payloads
+	ready    chan struct{}
 }
 
 // addLink is called with the leadership's lock held.
@@ -138,6 +140,7 @@
 	k.outMu.Lock()
 	defer k.outMu.Unlock()
 	k.out = &wirepb.LeaderMessage{}
+	k.payloads = wire.NewPayloads()
 }
 
 // connected takes the agent's snapshot.
@@ -296,10 +299,15 @@
 func (k *link) start(o planner.Start) {
 	until := k.beat + k.leadership.renewed + startLease - k.beatAt
 	k.send(func(out *wirepb.LeaderMessage) {
-		out.Starts = append(out.Starts, &wirepb.StartOrder{
+		order := &wirepb.StartOrder{
 			Details: details(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
 			Ticket: o.Ticket, ValidUntil: int64(until),
-		})
+		}
+		if k.payloads.Known(o.Run.Task.Job) {
+			order.Payload, order.SamePayload = "", true
+		}
+		k.leadership.budget.spend(k.leadership.opts.Now(), len(order.Payload)+orderBytes)
+		out.Starts = append(out.Starts, order)
 	})
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -140,6 +140,9 @@
 	slices.SortStableFunc(candidates, candidate.compare)
 	eject := p.ejectionAllowed(now)
 	for _, c := range candidates {
+		if p.spent() {
+			break
+		}
 		if c.step.step.Filler && now < c.step.retryAt && c.rank != rankStarved {
 			continue
 		}
@@ -159,6 +162,9 @@
 	return starts
 }
 
+// spent says that no further start may be ordered in this plan.
+func (p *Planner) spent() bool { return p.bounded && p.budget <= 0 }
+
 // mostlyFree says that little of the CPU of all runners is asked for; fillers do not
 // count.
 func (p *Planner) mostlyFree() bool {
@@ -183,7 +189,7 @@
 		if !t.waiting || now < t.notBefore {
 			continue
 		}
-		if c.limit > 0 && len(starts)-begun == c.limit {
+		if c.limit > 0 && len(starts)-begun == c.limit || p.spent() {
 			return starts
 		}
 		a := p.pick(now, s, t, c)
@@ -231,6 +237,7 @@
 		Number: number,
 	}
 	p.newRun(now, a, s, &s.tasks[index], id)
+	p.budget -= int64(len(s.job.job.Payload))
 	o := Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint}
 	if s.advice != nil {
 		o.Ticket = s.advice.tickets[a.runner.ID].text
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -79,6 +79,9 @@
 	// the fleet's CPU is not asked for.
 	patience time.Duration
 	free     bool
+	// budget is how many bytes of payload may still be ordered in this plan, if bounded.
+	budget  int64
+	bounded bool
 }
 
 // Stats count decisions since the planner was made.
@@ -175,6 +178,10 @@
 // SetSite takes the operators' will.
 func (p *Planner) SetSite(s *site.State) { p.site = s }
 
+// SetStartBudget bounds the payloads of the starts of each plan from now on, by what the
+// link carries. The most urgent starts come first; the last one may exceed it.
+func (p *Planner) SetStartBudget(bytes int64, bounded bool) { p.budget, p.bounded = bytes, bounded }
+
 // Known says whether the planner has the job.
 func (p *Planner) Known(id string) bool { return p.jobs[id] != nil }
 
