site, store: of a large configuration that changes often, only the last version is read

A feed brings each version: a transfer of 1.45 s became one of 2.9, 4.3 and 5.8 s, as more versions gathered meanwhile, beyond the 3 s that a version may take. Change: a feed has a bound of 1.3 times the size of the table; beyond it, which its length tells before it is sent, the table is read, which has the last version only. TestPattern_ConfigStormOnSlowLink fails without the bound.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -43,7 +42,7 @@
 	return store.Page{Rows: found, Version: 1}, f.read
 }
 
-func (f *fakeStore) Feed(context.Context, string, int64, time.Duration) ([]store.Row, int64, error) {
+func (f *fakeStore) Feed(context.Context, store.Changes) ([]store.Row, int64, error) {
 	return nil, 0, errNoAnswer
 }
 
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -143,11 +143,11 @@
 	feed  func(table string)
 }
 
-func (g *gate) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (g *gate) Feed(ctx context.Context, c store.Changes) ([]store.Row, int64, error) {
 	if g.feed != nil {
-		g.feed(table)
+		g.feed(c.Table)
 	}
-	return g.Store.Feed(ctx, table, after, wait)
+	return g.Store.Feed(ctx, c)
 }
 
 func (g *gate) Apply(ctx context.Context, tx store.Tx) (int64, error) {
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -36,7 +36,7 @@
 func (l *Ledger) FollowAgents(
 	ctx context.Context, after int64, wait time.Duration,
 ) (map[string]string, int64, error) {
-	rows, version, err := l.store.Feed(ctx, agentTable, after, wait)
+	rows, version, err := l.store.Feed(ctx, store.Changes{Table: agentTable, After: after, Wait: wait})
 	return addresses(rows), version, err
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -128,7 +128,7 @@
 
 // FollowJobs returns the jobs stored after a version, as soon as there is one.
 func (l *Ledger) FollowJobs(ctx context.Context, after int64, wait time.Duration) (*Contents, error) {
-	rows, version, err := l.store.Feed(ctx, jobTable, after, wait)
+	rows, version, err := l.store.Feed(ctx, store.Changes{Table: jobTable, After: after, Wait: wait})
 	if err != nil {
 		return nil, err
 	}
@@ -144,7 +144,7 @@
 // FollowCancels returns the jobs cancelled after a version, as soon as there is
 // one.
 func (l *Ledger) FollowCancels(ctx context.Context, after int64, wait time.Duration) (*Contents, error) {
-	rows, version, err := l.store.Feed(ctx, cancelTable, after, wait)
+	rows, version, err := l.store.Feed(ctx, store.Changes{Table: cancelTable, After: after, Wait: wait})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 	"golang.org/x/sync/errgroup"
 
 	"bamboowood/internal/job"
@@ -100,7 +101,7 @@
 			l := ledger.New(client, bulk)
 			held := lead(t, l, "p1")
 			jobBytes := fill(t, l, c.jobs)
-			config := config(t, c.routes)
+			config := config(t, c.routes, 3)
 			standin.WriteOperator("config", config)
 			standin.SetLinkRate(int(rate))
 			bytes := (float64(len(config)) + float64(jobBytes)) * 4 / 3
@@ -172,7 +173,7 @@
 	return bytes
 }
 
-func config(t *testing.T, routes int) []byte {
+func config(t *testing.T, routes int, version int64) []byte {
 	all := make([]map[string]any, routes)
 	for i := range all {
 		all[i] = map[string]any{
@@ -181,8 +182,54 @@
 		}
 	}
 	value, err := json.Marshal(map[string]any{
-		"version": 3, "routes": all, "services": []any{map[string]any{"name": "desk", "admissionCheck": true}},
+		"version": version, "routes": all, "services": []any{map[string]any{"name": "desk", "admissionCheck": true}},
 	})
 	must.NoError(t, err)
 	return value
 }
+
+// A large configuration is replaced several times a second on a slow link: the last
+// version is in force within the time of two transfers, one that was under way and its
+// own, however many versions there were.
+func TestPattern_ConfigStormOnSlowLink(t *testing.T) {
+	t.Parallel()
+	const (
+		rate     = 250_000 // 2 Mbit/s
+		versions = 12
+		gap      = 100 * time.Millisecond
+		// slack is for what is begun and given up, and the way there and back.
+		slack = 700 * time.Millisecond
+	)
+	client, standin := newClient(t)
+	standin.WriteOperator("config", config(t, 700, 1))
+	w := &site.Watcher{
+		Store: client, Bulk: store.NewBulk(client, rate), Logger: &log.Logger{Handler: discard.Default},
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		_ = w.Run(ctx) // ends with its context
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	version := func(want int64) func() bool {
+		return func() bool { return w.State().Config != nil && w.State().Config.Version == want }
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(version(1)), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	standin.SetLinkRate(rate)
+	time.Sleep(1100 * time.Millisecond) // the feed that is under way has no bound of its rate
+	var size int
+	for v := int64(2); v <= versions; v++ {
+		value := config(t, 700, v)
+		size = len(value) * 4 / 3
+		standin.WriteOperator("config", value)
+		time.Sleep(gap)
+	}
+	transfer := time.Duration(float64(size) / rate * float64(time.Second))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(version(versions)),
+		wait.Timeout(2*transfer+slack), wait.Gap(5*time.Millisecond)))
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -257,6 +257,6 @@
 func (l *Ledger) FollowTerm(
 	ctx context.Context, after int64, wait time.Duration,
 ) (changed bool, version int64, err error) {
-	rows, version, err := l.store.Feed(ctx, termTable, after, wait)
+	rows, version, err := l.store.Feed(ctx, store.Changes{Table: termTable, After: after, Wait: wait})
 	return len(rows) > 0, version, err
 }
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -23,6 +23,12 @@
 	// maxRetryPause. Half of it is random: all entries fail at once.
 	firstRetryPause = 200 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
+	// smallFeed is what a feed may bring however small the table is.
+	smallFeed = 64 << 10
+	// feedVersions times the size of the whole table is what a feed may bring besides.
+	feedVersions = 1.3
+	// base64Factor is by how much a value grows on its way.
+	base64Factor = 4.0 / 3
 )
 
 // Decode returns a state with one of the operators' rows applied.
@@ -39,6 +45,8 @@
 	Decode Decode
 
 	state atomic.Pointer[State]
+	// feedBound is the most bytes that a feed may bring; what is more is read whole.
+	feedBound int64
 }
 
 // State is the latest state that is known.
@@ -64,6 +72,10 @@
 			w.Logger.Warn("store has dropped the history of the operators' rows; reading them whole")
 			loaded = false
 			continue
+		case errors.Is(err, store.ErrTooLarge):
+			w.Logger.Info("several versions of the operators' rows are new; reading the last one")
+			loaded = false
+			continue
 		case ctx.Err() == nil:
 			w.Logger.WithError(err).WithField("loaded", loaded).Warn("operators' rows cannot be followed")
 		}
@@ -83,16 +95,29 @@
 		rows, version, err := w.Bulk.ReadAll(ctx, store.Range{Table: w.Table})
 		if err == nil {
 			w.apply(&State{Config: w.State().Config}, rows)
+			w.boundFeed(rows)
 		}
 		return version, err
 	}
-	rows, version, err := w.Store.Feed(ctx, w.Table, version, followWait)
+	rows, version, err := w.Store.Feed(ctx, store.Changes{
+		Table: w.Table, After: version, Wait: followWait, MaxBytes: w.feedBound,
+	})
 	if err == nil {
 		w.apply(w.State(), rows)
 	}
 	return version, err
 }
 
+// boundFeed keeps feeds from bringing a large row in several versions, of which only the
+// last one counts.
+func (w *Watcher) boundFeed(rows []store.Row) {
+	bytes := 0
+	for _, row := range rows {
+		bytes += len(row.Value)
+	}
+	w.feedBound = smallFeed + int64(feedVersions*float64(bytes)*base64Factor)
+}
+
 func (w *Watcher) apply(state *State, rows []store.Row) {
 	for _, row := range rows {
 		next, err := w.Decode(state, row)
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -32,17 +32,17 @@
 	return store.Page{Version: int64(10 * s.reads)}, nil
 }
 
-func (s *flakyStore) Feed(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (s *flakyStore) Feed(ctx context.Context, c store.Changes) ([]store.Row, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.afters = append(s.afters, after)
+	s.afters = append(s.afters, c.After)
 	if len(s.feeds) == 0 {
-		time.Sleep(wait)
-		return nil, after, ctx.Err()
+		time.Sleep(c.Wait)
+		return nil, c.After, ctx.Err()
 	}
 	err := s.feeds[0]
 	s.feeds = s.feeds[1:]
-	return nil, after + 1, err
+	return nil, c.After + 1, err
 }
 
 func watch(t *testing.T, s *flakyStore, lasts time.Duration) {
@@ -67,12 +67,12 @@
 	})
 }
 
-// Without its history, the store has to be read again.
+// Without its history, or with more changes than rows, the store is read again.
 func TestWatcher_ForgottenHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &flakyStore{feeds: []error{nil, store.ErrForgotten, nil}}
+		s := &flakyStore{feeds: []error{nil, store.ErrForgotten, nil, store.ErrTooLarge, nil}}
 		watch(t, s, 4*time.Second)
-		test.Eq(t, 2, s.reads)
-		test.Eq(t, []int64{10, 11, 20, 21}, s.afters[:4])
+		test.Eq(t, 3, s.reads)
+		test.Eq(t, []int64{10, 11, 20, 21, 30, 31}, s.afters[:6])
 	})
 }
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -39,7 +39,8 @@
 // note takes the result of a call that began at a time.
 func (h *Health) note(began time.Time, err error) {
 	conflict := (*ConflictError)(nil)
-	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrForgotten)
+	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrForgotten) ||
+		errors.Is(err, ErrTooLarge)
 	if errors.Is(err, context.Canceled) {
 		// The caller has left; that tells nothing.
 		return
@@ -89,10 +90,10 @@
 }
 
 // Feed implements Store.
-func (h *Health) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+func (h *Health) Feed(ctx context.Context, c Changes) ([]Row, int64, error) {
 	// The wait is no time without an answer.
-	began := time.Now().Add(wait)
-	rows, version, err := h.store.Feed(ctx, table, after, wait)
+	began := time.Now().Add(c.Wait)
+	rows, version, err := h.store.Feed(ctx, c)
 	h.note(began, err)
 	return rows, version, err
 }
--- a/internal/store/health_test.go
+++ b/internal/store/health_test.go
@@ -38,8 +38,8 @@
 	return store.Page{Version: 1}, s.call(ctx)
 }
 
-func (s *silentStore) Feed(ctx context.Context, _ string, _ int64, wait time.Duration) ([]store.Row, int64, error) {
-	time.Sleep(wait)
+func (s *silentStore) Feed(ctx context.Context, c store.Changes) ([]store.Row, int64, error) {
+	time.Sleep(c.Wait)
 	return nil, 1, s.call(ctx)
 }
 
@@ -115,7 +115,7 @@
 		_, err := h.Apply(ctx, store.Tx{})
 		test.ErrorIs(t, err, context.Canceled)
 		test.Zero(t, h.Unanswered())
-		_, _, _ = h.Feed(t.Context(), "t", 0, 10*time.Second)
+		_, _, _ = h.Feed(t.Context(), store.Changes{Table: "t", After: 0, Wait: 10 * time.Second})
 		test.LessEq(t, 700*time.Millisecond, h.Unanswered())
 	})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,8 @@
 	ErrRefused = errors.New("store refused the call")
 	// ErrForgotten: the history that a Feed asked for is gone; read whole tables.
 	ErrForgotten = errors.New("store has dropped that history")
+	// ErrTooLarge: the answer has more bytes than were asked for.
+	ErrTooLarge = errors.New("answer of the store is too large")
 )
 
 // ConflictError says that a transaction was not applied, since a row did not
@@ -82,6 +84,16 @@
 	From, To string
 }
 
+// Changes is a query for the rows of a table that changed after a version.
+type Changes struct {
+	Table string
+	After int64
+	// Wait bounds how long the store waits for a change.
+	Wait time.Duration
+	// MaxBytes bounds the answer, as it is sent; 0 means the client's own bound.
+	MaxBytes int64
+}
+
 // Page is the beginning of a range.
 type Page struct {
 	// Rows are in order of their keys.
@@ -99,7 +111,7 @@
 	// Read returns the first rows of the range, at most limit of them and no more than
 	// the store gives at once.
 	Read(ctx context.Context, r Range, limit int) (Page, error)
-	// Feed returns the rows of a table that changed after a version, as soon as
-	// there is one or wait has passed, and the version to continue from.
-	Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error)
+	// Feed returns the changes, as soon as there is one or the wait has passed, and the
+	// version to continue from. A row that changed more than once comes as often.
+	Feed(ctx context.Context, c Changes) (rows []Row, version int64, err error)
 }
