planner: a job waits until a runner has begun a task of it

Cause: a job counted as begun from the order to start. Change: a job has begun when a runner lists a run of it or its end. Its state is running while an order is under way, as before.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -169,7 +169,6 @@
 	s.onAgent[a]++
 	s.job.live++
 	s.job.working++
-	s.job.begun = true
 	return r
 }
 
@@ -332,6 +331,7 @@
 }
 
 func (p *Planner) progressed(now time.Duration, r *run, act job.Activity) {
+	r.step.job.begun = r.step.job.begun || !act.Unconfirmed
 	if r.phase == starting && !act.Unconfirmed {
 		r.phase = running
 		r.confirmedAt = now
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -49,6 +49,7 @@
 		return
 	}
 	t.run = max(t.run, e.Run.Number)
+	s.job.begun = true
 	if a != nil {
 		p.judge(now, a, s, r, e)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -113,6 +113,7 @@
 	durable job.State
 	// recovered jobs may have runs that this planner has not ordered.
 	recovered bool
+	// begun says that a runner has begun a task: an order to start may be refused.
 	begun     bool
 	accepted  time.Duration
 	durations durations
@@ -369,7 +370,7 @@
 		return "", false
 	case js.state.Terminal() && js.durable == js.state:
 		return js.state, true
-	case js.begun:
+	case js.begun || js.live > 0:
 		return job.Running, true
 	}
 	return job.Queued, true
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -62,7 +62,7 @@
 	if js.state.Terminal() {
 		return pr
 	}
-	if js.begun {
+	if js.begun || js.live > 0 {
 		pr.State = job.Running
 	}
 	for pr.DoneBefore < js.opened && js.open[pr.DoneBefore] == nil {
