planner: runs that nobody needs count against their runner until their end is listed

Cause, found by reading for LIMIT around lost agents: a run that an agent lists and that the planner does not need (its job was cancelled or has ended, or the task is at work elsewhere) was stopped, but what it occupies was free at once; a runner that does not check its room could be given more than it has while the run was being stopped. Change: such a run occupies its step's size, or all that is left if the job is not known. Before and after: TestPlanner_OrphanOccupiesUntilItsEnd and TestPlanner_OrphanIsGone.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -144,7 +144,7 @@
 		}
 		return
 	}
-	p.stops = append(p.stops, Stop{Agent: a.id, Run: act.Run})
+	p.stopOrphan(now, a, act)
 }
 
 func (p *Planner) find(t job.Task) (*stepState, *taskState) {
--- /dev/null
+++ b/internal/planner/orphan_test.go
@@ -0,0 +1,54 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+)
+
+// A new leader finds a run of a job that was cancelled meanwhile. Until its end is
+// listed, what it occupies is given to nobody.
+func TestPlanner_OrphanOccupiesUntilItsEnd(t *testing.T) {
+	for name, known := range map[string]bool{"job known": true, "job forgotten": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.AgentKnown("a", f.now+10*time.Second)
+			large := step(1)
+			large.CPU = 10_000
+			old := testJob(1, large)
+			if known {
+				f.add(old, nil, true)
+				f.Cancel(f.now, old.ID)
+			}
+			orphan := job.Run{Task: job.Task{Job: old.ID}, Number: 1}
+			f.agent("a", job.Activity{Run: orphan, Percent: 10})
+			f.add(testJob(2, large), nil, false)
+			orders := f.plan()
+			test.Len(t, 0, orders.Starts)
+			must.Len(t, 1, orders.Stops)
+			test.Eq(t, orphan, orders.Stops[0].Run)
+			f.Reported(f.now, "a", []job.Activity{{Run: orphan, Percent: 11}})
+			test.Len(t, 0, f.plan().Starts)
+			f.end("a", orphan, job.EndStopped)
+			test.Len(t, 1, f.plan().Starts)
+			test.Eq(t, 10_000, f.agents["a"].used.CPU)
+		})
+	}
+}
+
+// An orphan that ends done, or that its agent lists no more, frees its room as well.
+func TestPlanner_OrphanIsGone(t *testing.T) {
+	f := newFixture(t, 2)
+	orphans := []job.Run{{Task: job.Task{Job: testJob(1).ID}, Number: 1}, {Task: job.Task{Job: testJob(2).ID}, Number: 1}}
+	f.agent("a", job.Activity{Run: orphans[0]}, job.Activity{Run: orphans[1]})
+	test.Positive(t, f.agents["a"].used.CPU)
+	f.end("a", orphans[0], job.EndDone)
+	f.agent("a")
+	test.Zero(t, f.agents["a"].used.CPU)
+	test.Zero(t, f.agents["a"].used.MemoryMB)
+	test.MapEmpty(t, f.agents["a"].runs)
+}
