--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -378,3 +378,26 @@
 		test.Len(t, 0, b.fake.starts)
 	})
 }
+
+// A restarted agent knows no past life: a report of an earlier one that was held up on its
+// way changes nothing, whether it comes before or after the first of the present life.
+func TestSupervisor_HeldUpReportAfterRestart(t *testing.T) {
+	earlier := job.Runner{ID: "i-1", Service: "desk", Born: 100, Sequence: 900}
+	present := job.Runner{ID: "i-1", Service: "desk", Born: 200, Sequence: 2, Draining: true}
+	for _, reports := range [][]job.Runner{{earlier, present}, {present, earlier}, {earlier, present, earlier}} {
+		run(t, nil, func(b *bench) {
+			for _, r := range reports {
+				b.RunnerReported(r)
+				time.Sleep(50 * time.Millisecond)
+			}
+			snapshot, ok := b.Snapshot()
+			must.True(t, ok)
+			test.Eq(t, present.Born, snapshot.Runner.Born)
+			b.permit()
+			b.begin(1)
+			u := b.collect(time.Second)
+			test.Len(t, 1, u.Refused)
+			test.Len(t, 0, b.fake.starts)
+		})
+	}
+}
