--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -126,11 +126,17 @@
 	stats := r.planner.Stats()
 	jobs := r.planner.Jobs()
 	loads := r.planner.Loads(r.opts.Now())
+	fleet := r.planner.Fleet()
 	r.mu.Unlock()
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
 		"lapses": stats.Lapses, "failures": stats.Failures, "refusals": stats.Refusals,
 	}).Info("planner")
+	r.opts.Logger.WithFields(log.Fields{
+		"agents": fleet.Agents, "serving_agents": fleet.ServingAgents, "cpu_of": fleet.CapacityCPU, "cpu": fleet.UsedCPU,
+		"filler_cpu": fleet.FillerCPU, "filler_cpu_paced": fleet.PacedCPU, "serving": fleet.Serving, "serving_over": fleet.Over,
+		"waiting": fleet.Waiting, "waiting_fillers": fleet.WaitingFillers,
+	}).Info("fleet load")
 	for _, a := range loads {
 		r.opts.Logger.WithFields(log.Fields{
 			"agent": a.ID, "state": a.State, "runs": a.Runs, "cpu": a.Used.CPU, "cpu_of": a.Capacity.CPU,
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -43,6 +43,52 @@
 	return loads
 }
 
+// FleetLoad is what the live agents of all services run and what waits for them.
+type FleetLoad struct {
+	Agents, ServingAgents int
+	// CapacityCPU is what they have; UsedCPU what all runs but fillers ask for; FillerCPU
+	// what fillers ask for, PacedCPU the same at the pace that was ordered.
+	CapacityCPU, UsedCPU, FillerCPU, PacedCPU int64
+	// Serving counts tasks with a latency target, Over those of them above it.
+	Serving, Over int
+	// WaitingFillers and Waiting count tasks that are ready to start.
+	WaitingFillers, Waiting int
+}
+
+// Fleet sums up the loads.
+func (p *Planner) Fleet() FleetLoad {
+	var l FleetLoad
+	for _, a := range p.order {
+		if a.state != live || a.runner == nil {
+			continue
+		}
+		l.Agents++
+		l.CapacityCPU += a.runner.Capacity.CPU
+		l.UsedCPU += a.used.CPU
+		l.FillerCPU += a.fillerCPU
+		l.Serving += a.serving
+		if a.serving > 0 {
+			l.ServingAgents++
+		}
+		for _, r := range a.runs {
+			if r.step.step.Filler {
+				l.PacedCPU += r.step.step.CPU * int64(r.pace) / fullPace
+			}
+			if r.overSince != 0 {
+				l.Over++
+			}
+		}
+	}
+	for _, s := range p.ready {
+		if s.step.Filler {
+			l.WaitingFillers += s.waiting
+		} else {
+			l.Waiting += s.waiting
+		}
+	}
+	return l
+}
+
 // Largest returns the most that any runner of a service has of each resource. known is
 // false unless all agents have been heard of and one of them has such a runner.
 func (p *Planner) Largest(service string) (largest job.Resources, known bool) {
