--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -85,6 +85,7 @@
 		age := r.planner.Committed(r.opts.Now(), c)
 		if c.Progress.State.Terminal() {
 			countJobEnd(c.Progress.State)
+			r.large = append(r.large, c.Job)
 			jobSeconds.Update(age.Seconds())
 			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
 		}
@@ -145,6 +146,10 @@
 			"faults": a.RecentFaults,
 		}).Info("agent load")
 	}
+	if err := r.term.Shrink(r.ctx, r.large); err != nil {
+		return err
+	}
+	r.large = nil
 	r.ended = append(r.ended, ids...)
 	if err := r.term.Forget(r.ctx, r.ended); err != nil {
 		return err
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -53,9 +53,9 @@
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
-	// away has the agents to be removed from the ledger, ended the jobs; only the commit
-	// loop uses them.
-	away, ended []string
+	// away has the agents to be removed from the ledger, ended the jobs, large those whose
+	// rows are to be shrunk; only the commit loop uses them.
+	away, ended, large []string
 
 	plan   chan struct{}
 	commit chan struct{}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -108,6 +109,10 @@
 	return &page.Rows[0], nil
 }
 
+// endedJob replaces the row of a job that has ended, so that the next leader need not read
+// it. The row stays: a repeated submission must find that the job was accepted.
+var endedJob = []byte(`{"ended":true}`)
+
 // EncodeJob returns a job as the ledger stores it, without its id.
 func EncodeJob(j *job.Job) ([]byte, error) {
 	value, err := json.Marshal(j)
@@ -134,7 +139,7 @@
 	}
 	c := &Contents{Version: version}
 	for _, row := range rows {
-		if !row.Deleted && row.Part == jobPart(row.Key) {
+		if !row.Deleted && row.Part == jobPart(row.Key) && !bytes.Equal(row.Value, endedJob) {
 			c.add(DecodeJob(row.Key, row.Value))
 		}
 	}
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -1,9 +1,12 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -20,7 +23,7 @@
 	Cancels  []string
 	// Version is where feeds of jobs and cancels continue.
 	Version int64
-	// Orphans have progress and no job: they were being forgotten.
+	// Orphans have lost either their job or their progress: they were being forgotten.
 	Orphans []string
 	// Unreadable has the errors of rows that were left out.
 	Unreadable []error
@@ -104,11 +107,15 @@
 		Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{},
 		Version: min(d.jobs[0].version, d.cancels[0].version),
 	}
-	known := map[string]bool{}
+	known, ended := map[string]bool{}, map[string]bool{}
 	for i := range jobParts {
 		c.Version = min(c.Version, d.jobs[i].version, d.cancels[i].version)
 		for _, row := range d.jobs[i].rows {
 			known[row.Key] = true
+			if bytes.Equal(row.Value, endedJob) {
+				ended[row.Key] = true
+				continue
+			}
 			c.add(DecodeJob(row.Key, row.Value))
 		}
 		for _, row := range d.cancels[i].rows {
@@ -127,7 +134,13 @@
 		}
 		c.Progress[row.Key] = &p
 		c.progressVersions[row.Key] = row.Version
+		if ended[row.Key] && p.State.Terminal() {
+			c.Jobs = append(c.Jobs, &job.Job{ID: row.Key})
+			delete(ended, row.Key)
+		}
 	}
+	// What has ended and has no progress any more was being forgotten.
+	c.Orphans = append(c.Orphans, slices.Sorted(maps.Keys(ended))...)
 	return c
 }
 
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -20,6 +20,7 @@
 
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
 	"bamboowood/internal/site"
 	"bamboowood/internal/store"
 	"bamboowood/platform"
@@ -233,3 +234,51 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(version(versions)),
 		wait.Timeout(2*transfer+slack), wait.Gap(5*time.Millisecond)))
 }
+
+// The next leader reads next to nothing of jobs that have ended; their state stays, a
+// repeated submission does not revive them, and they can be forgotten.
+func TestShrink(t *testing.T) {
+	l, standin := newLedger(t)
+	held := lead(t, l, "p1")
+	large := &job.Job{ID: testID, Payload: strings.Repeat("x", 2_000), Steps: []job.Step{{Tasks: 1}}}
+	must.NoError(t, l.Accept(t.Context(), large))
+	must.NoError(t, held.Commit(t.Context(), done(testID, job.Completed)))
+	must.NoError(t, held.Shrink(t.Context(), []string{testID}))
+	must.NoError(t, l.Accept(t.Context(), large))
+	state, known, err := l.Status(t.Context(), testID)
+	must.NoError(t, err)
+	test.True(t, known)
+	test.Eq(t, job.Completed, state)
+
+	contents, err := l.NewLoad().Run(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, contents.Jobs)
+	test.Eq(t, "", contents.Jobs[0].Payload)
+	p := planner.New(planner.Options{Term: 2})
+	p.AgentConnected(0, "a", &job.Runner{ID: "i", Capacity: job.Resources{CPU: 1000}}, nil)
+	p.Add(planner.Instant{}, contents.Jobs[0], contents.Progress[testID], true)
+	test.Len(t, 0, p.Plan(planner.Instant{}, true).Starts)
+	state, _ = p.Status(testID)
+	test.Eq(t, job.Completed, state)
+	changed, err := l.FollowJobs(t.Context(), 0, 10*time.Millisecond)
+	must.NoError(t, err)
+	test.Len(t, 1, changed.Jobs) // as it was accepted
+
+	next := lead(t, l, "p2")
+	must.NoError(t, next.Forget(t.Context(), p.Forget(time.Hour)))
+	test.Len(t, 0, standin.Keys("jobs"))
+	test.Len(t, 0, standin.Keys("progress"))
+}
+
+// A row that was shrunk after its job had been forgotten is found and removed.
+func TestShrink_AfterForget(t *testing.T) {
+	l, standin := newLedger(t)
+	held := lead(t, l, "p1")
+	must.NoError(t, held.Shrink(t.Context(), []string{testID}))
+	contents, err := l.NewLoad().Run(t.Context())
+	must.NoError(t, err)
+	test.Len(t, 0, contents.Jobs)
+	test.Eq(t, []string{testID}, contents.Orphans)
+	must.NoError(t, held.Forget(t.Context(), contents.Orphans))
+	test.Len(t, 0, standin.Keys("jobs"))
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboowood/internal/planner"
@@ -221,6 +222,22 @@
 // maxForget is the most jobs that Forget removes in one transaction of a part.
 const maxForget = (store.MaxTxEntries - 1) / 2
 
+// Shrink replaces the rows of jobs whose end is stored by small ones.
+func (h *HeldTerm) Shrink(ctx context.Context, ids []string) error {
+	parts := map[string][]store.Write{}
+	for _, id := range ids {
+		parts[jobPart(id)] = append(parts[jobPart(id)], store.Write{Key: jobKey(jobTable, id), Value: endedJob})
+	}
+	for _, writes := range parts {
+		for chunk := range slices.Chunk(writes, store.MaxTxEntries) {
+			if err := h.ledger.apply(ctx, store.Tx{Writes: chunk}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // Forget removes jobs that ended long ago. Progress goes last: a job without it would
 // be run again. Whoever forgets a job knows that its end is stored, so its row may be
 // removed by a deposed leader, too.
