--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -123,8 +123,7 @@
 	book := ledger.New(tables, bulk)
 	callersBook := ledger.New(tables.FailFast(), bulk)
 	sites := &site.Watcher{
-		// Of its own: the ledger must not wait for each of many configurations.
-		Store: tables, Bulk: store.NewBulk(tables, n.node.LinkRate), Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Store: tables, Bulk: bulk, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
 	}
 	var advisor leader.Advisor
 	if n.node.AdviceAddress != "" {
