site, store: the operators' rows wait while a new leader reads the ledger

Cause: on links of 2 Mbit/s and during a storm of configurations a new leader needed 8.1 to 13.1 s for 92 to 111 jobs, since its entry read one version after the other over the same link. Change: while the ledger is read, the watcher waits, at most 1 s between two versions.

--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -64,6 +64,7 @@
 // found without it has none. Only the leader writes progress, and a term that has begun
 // ends all writes of earlier ones.
 func (d *Load) Run(ctx context.Context) (*Contents, error) {
+	defer d.ledger.bulk.Urgent()()
 	if !d.hasProgress {
 		rows, _, err := d.ledger.bulk.ReadAll(ctx, store.Range{Table: progressTable, Part: part})
 		if err != nil {
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -282,3 +282,49 @@
 	must.NoError(t, held.Forget(t.Context(), contents.Orphans))
 	test.Len(t, 0, standin.Keys("jobs"))
 }
+
+// A new leader on a slow link reads the ledger while a large configuration is replaced
+// again and again: it waits for the transfer under way and for its own bytes, not for
+// each version.
+func TestPattern_TakeoverDuringConfigStorm(t *testing.T) {
+	t.Parallel()
+	const (
+		rate  = 250_000 // 2 Mbit/s
+		jobs  = 300
+		slack = time.Second
+	)
+	client, standin := newClient(t)
+	bulk := store.NewBulk(client, rate)
+	l := ledger.New(client, bulk)
+	jobBytes := fill(t, l, jobs)
+	standin.WriteOperator("config", config(t, 1200, 1))
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	w := &site.Watcher{
+		Store: client, Bulk: bulk, Logger: &log.Logger{Handler: discard.Default},
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+	}
+	group.Go(func() error { return w.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait() // both end with their context
+	})
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.State().Config != nil }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	standin.SetLinkRate(rate)
+	size := len(config(t, 1200, 1)) * 4 / 3
+	group.Go(func() error {
+		for v := int64(2); ctx.Err() == nil; v++ {
+			standin.WriteOperator("config", config(t, 1200, v))
+			time.Sleep(200 * time.Millisecond)
+		}
+		return ctx.Err()
+	})
+	time.Sleep(1500 * time.Millisecond)
+	began := time.Now()
+	contents, err := l.NewLoad().Run(t.Context())
+	must.NoError(t, err)
+	test.Len(t, jobs, contents.Jobs)
+	seconds := float64(size+jobBytes*4/3) / rate
+	test.LessEq(t, time.Duration(seconds*float64(time.Second))+slack, time.Since(began))
+}
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -24,6 +24,9 @@
 	// maxRetryPause. Half of it is random: all entries fail at once.
 	firstRetryPause = 200 * time.Millisecond
 	maxRetryPause   = 800 * time.Millisecond
+	// yieldTime is how long the operators' rows wait for a new leader that reads the ledger
+	// over the same link.
+	yieldTime = time.Second
 	// smallFeed is what a feed may bring however small the table is.
 	smallFeed = 64 << 10
 	// feedVersions times the size of the whole table is what a feed may bring besides.
@@ -64,6 +67,7 @@
 	var version int64
 	wait := firstRetryPause
 	for ctx.Err() == nil {
+		w.Bulk.Yield(ctx, yieldTime)
 		next, err := w.next(ctx, loaded, version)
 		switch {
 		case err == nil:
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -34,22 +34,27 @@
 
 func (s *flakyStore) Feed(ctx context.Context, c store.Changes) ([]store.Row, int64, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.afters = append(s.afters, c.After)
 	if len(s.feeds) == 0 {
+		s.mu.Unlock()
 		time.Sleep(c.Wait)
 		return nil, c.After, ctx.Err()
 	}
+	defer s.mu.Unlock()
 	err := s.feeds[0]
 	s.feeds = s.feeds[1:]
 	return nil, c.After + 1, err
 }
 
-func watch(t *testing.T, s *flakyStore, lasts time.Duration) {
-	w := &site.Watcher{
+func newWatcher(s *flakyStore) *site.Watcher {
+	return &site.Watcher{
 		Store: s, Bulk: store.NewBulk(s, 0), Logger: &log.Logger{Handler: discard.Default}, Table: "op",
 		Decode: func(state *site.State, _ store.Row) (*site.State, error) { return state, nil },
 	}
+}
+
+func watch(t *testing.T, s *flakyStore, lasts time.Duration) {
+	w := newWatcher(s)
 	ctx, cancel := context.WithTimeout(t.Context(), lasts)
 	defer cancel()
 	test.ErrorIs(t, w.Run(ctx), context.DeadlineExceeded)
@@ -76,3 +81,32 @@
 		test.Eq(t, []int64{10, 11, 20, 21, 30, 31}, s.afters[:6])
 	})
 }
+
+// While a new leader reads the ledger over the same link, the operators' rows wait, but no
+// longer than a configuration may be late.
+func TestWatcher_YieldsToUrgentReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &flakyStore{}
+		w := newWatcher(s)
+		done := w.Bulk.Urgent()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		go func() { _ = w.Run(ctx) }() // ends with its context
+		reads := func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.reads
+		}
+		time.Sleep(900 * time.Millisecond)
+		test.Zero(t, reads())
+		time.Sleep(200 * time.Millisecond)
+		test.Eq(t, 1, reads())
+		done()
+		time.Sleep(10 * time.Millisecond)
+		s.mu.Lock()
+		feeds := len(s.afters)
+		s.mu.Unlock()
+		test.Eq(t, 1, feeds)
+		<-ctx.Done()
+	})
+}
--- a/internal/store/bulk.go
+++ b/internal/store/bulk.go
@@ -36,6 +36,9 @@
 
 	mu   sync.Mutex
 	rows int
+	// urgent counts the urgent reads; calm is closed when there are none.
+	urgent int
+	calm   chan struct{}
 }
 
 // NewBulk returns a reader of s over a link of linkRate bytes a second, 0 if that is not
@@ -48,6 +51,39 @@
 	return &Bulk{store: s, slots: make(chan struct{}, n), rows: firstPageRows}
 }
 
+// Urgent says that reads for which others should wait are under way, until done is called.
+func (b *Bulk) Urgent() (done func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.urgent == 0 {
+		b.calm = make(chan struct{})
+	}
+	b.urgent++
+	return sync.OnceFunc(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.urgent--
+		if b.urgent == 0 {
+			close(b.calm)
+		}
+	})
+}
+
+// Yield waits while urgent reads are under way, at most for a time.
+func (b *Bulk) Yield(ctx context.Context, atMost time.Duration) {
+	b.mu.Lock()
+	urgent, calm := b.urgent > 0, b.calm
+	b.mu.Unlock()
+	if !urgent {
+		return
+	}
+	select {
+	case <-calm:
+	case <-time.After(atMost):
+	case <-ctx.Done():
+	}
+}
+
 // ReadAll returns all rows of the range, in order of their keys, and a version from
 // which Feed continues without a gap. A page that fails is tried again, the first one
 // excepted.
