--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -91,7 +91,8 @@
 		done := w.Bulk.Urgent()
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		go func() { _ = w.Run(ctx) }() // ends with its context
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.Run(ctx) }) // ends with its context
 		reads := func() int {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -107,6 +108,6 @@
 		feeds := len(s.afters)
 		s.mu.Unlock()
 		test.Eq(t, 1, feeds)
-		<-ctx.Done()
+		group.Wait()
 	})
 }
