--- /dev/null
+++ b/internal/leader/begin.go
@@ -0,0 +1,111 @@
+package leader
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/contain"
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
+)
+
+// begin reads what the store has and then begins to plan.
+func (r *leadership) begin() error {
+	began := r.opts.Now()
+	agents, agentsVersion, err := readUntilDone(r, "agents", func() (map[string]string, int64, error) {
+		return r.opts.Ledger.Agents(r.ctx)
+	})
+	if err != nil {
+		return err
+	}
+	r.awaitAgents(agents, began+grantLease+r.opts.Hold+leaseMargin)
+	load := r.opts.Ledger.NewLoad()
+	contents, version, err := readUntilDone(r, "jobs", func() (*ledger.Contents, int64, error) {
+		c, err := load.Run(r.ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		return c, c.Version, nil
+	})
+	if err != nil {
+		return err
+	}
+	r.term.Use(contents)
+	r.ended = contents.Orphans
+	r.restore(contents)
+	r.opts.Logger.WithFields(log.Fields{
+		"jobs": len(contents.Jobs), "agents": len(agents), "took": (r.opts.Now() - began).String(),
+	}).Info("leading")
+	r.leader.leadership.Store(r)
+	r.run("plans", r.planLoop)
+	r.run("commits", r.commitLoop)
+	r.run("jobs", func() error { return r.followJobs(version) })
+	r.run("cancels", func() error { return r.followCancels(version) })
+	r.run("agents", func() error { return r.followAgents(agentsVersion) })
+	return nil
+}
+
+// readUntilDone repeats a read of the ledger until it succeeds.
+func readUntilDone[T any](r *leadership, what string, read func() (T, int64, error)) (T, int64, error) {
+	for {
+		found, version, err := read()
+		if err == nil || r.ctx.Err() != nil {
+			return found, version, err
+		}
+		r.opts.Logger.WithError(err).WithField("what", what).Warn("ledger cannot be read")
+		pause(r.ctx, retryPause+rand.N(retryPause))
+	}
+}
+
+// restore passes the ledger's contents to the planner, and then what agents have sent
+// meanwhile.
+func (r *leadership) restore(c *ledger.Contents) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.instant()
+	for _, j := range c.Jobs {
+		r.add(now, j, c.Progress[j.ID], true)
+	}
+	for _, id := range c.Cancels {
+		r.planner.Cancel(now.Mono, id)
+	}
+	r.logUnreadable(c)
+	r.restored = true
+	for _, k := range r.links {
+		k.takeHeld(now.Mono)
+	}
+}
+
+// add passes a job to the planner; one that it cannot take is set aside. It is called
+// with the lock held.
+func (r *leadership) add(now planner.Instant, j *job.Job, progress *planner.Progress, recovered bool) {
+	err := contain.Do(r.opts.Logger.WithField("job", j.ID), "new job", func() error {
+		r.planner.Add(now, j, progress, recovered)
+		return nil
+	})
+	if err != nil {
+		r.setAside(j.ID)
+	}
+}
+
+func (r *leadership) logUnreadable(c *ledger.Contents) {
+	for _, err := range c.Unreadable {
+		r.opts.Logger.WithError(err).Error("row of the ledger left out")
+	}
+}
+
+// awaitAgents makes the planner wait for all agents that may have runs of an
+// earlier leader, and begins their sessions once it knows of all.
+func (r *leadership) awaitAgents(agents map[string]string, lapseAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range agents {
+		r.planner.AgentKnown(id, lapseAt)
+	}
+	for id, address := range agents {
+		r.addLink(id, address)
+	}
+}
--- /dev/null
+++ b/internal/leader/fakeagent_test.go
@@ -0,0 +1,124 @@
+package leader
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/job"
+	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
+)
+
+// fakeAgent follows any leader, with a runner that has room for everything. It keeps all
+// messages with the time at which they came.
+type fakeAgent struct {
+	address string
+	mu      sync.Mutex
+	active  []*wirepb.RunActivity
+	got     []agentNews
+}
+
+type agentNews struct {
+	at      time.Duration
+	message *wirepb.LeaderMessage
+}
+
+func newFakeAgent(t *testing.T, active ...job.Run) *fakeAgent {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	a := &fakeAgent{address: ln.Addr().String()}
+	for _, run := range active {
+		a.active = append(a.active, &wirepb.RunActivity{Run: wire.RunRef(run)})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(ctx, conn)
+		}
+	}()
+	return a
+}
+
+func (a *fakeAgent) serve(ctx context.Context, conn net.Conn) {
+	session, err := wire.NewServerSession(conn)
+	if err != nil {
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Accept(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		for first := true; ctx.Err() == nil; first = false {
+			m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: first}
+			if first {
+				m.Active = a.active
+				m.Runner = wire.RunnerInfo(&job.Runner{
+					ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
+				})
+			}
+			if stream.Send(m) != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	for {
+		var m wirepb.LeaderMessage
+		if stream.Recv(&m) != nil {
+			return
+		}
+		a.mu.Lock()
+		a.got = append(a.got, agentNews{boottime.Now(), &m})
+		a.mu.Unlock()
+	}
+}
+
+// first waits for a message that fits.
+func (a *fakeAgent) first(t *testing.T, fits func(*wirepb.LeaderMessage) bool) agentNews {
+	var found agentNews
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, n := range a.got {
+			if fits(n.message) {
+				found = n
+				return true
+			}
+		}
+		return false
+	}), wait.Timeout(8*time.Second), wait.Gap(5*time.Millisecond)))
+	return found
+}
+
+func (a *fakeAgent) count(fits func(*wirepb.LeaderMessage) bool) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, news := range a.got {
+		if fits(news.message) {
+			n++
+		}
+	}
+	return n
+}
+
+func grants(m *wirepb.LeaderMessage) bool { return m.Grant != nil }
+func starts(m *wirepb.LeaderMessage) bool { return len(m.Starts) > 0 }
+func stops(m *wirepb.LeaderMessage) bool  { return len(m.Stops) > 0 }
