--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -220,6 +220,7 @@
 	return nil
 }
 
+// payload returns that of a start, which an earlier start of the session may have brought.
 func (f *Follower) payload(job string, o *wirepb.StartOrder) (payload string, known bool) {
 	if o.SamePayload {
 		return f.payloads.Get(job)
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -307,8 +307,9 @@
 }
 
 // start orders a start. An order may be held up on its way, or this process before it
-// sends it, so the agent is told until when it may be carried out. The agent's clock may
-// only be further on than the last beat and the time since it came.
+// sends it, so the agent is told until when it may be carried out. Counted from its last
+// beat, the agent's clock is not behind what is worked out here, so the permission never
+// lasts longer than the leader's.
 func (k *link) start(o planner.Start) {
 	until := k.beat + k.leadership.renewed + startLease - k.beatAt
 	k.send(func(out *wirepb.LeaderMessage) {
