leader: jobs are read in one place

Reading the change as a newcomer: the load of the ledger stood twice, in begin and in reload, with a version that its result has already. One method now; behaviour is the same.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -15,21 +15,16 @@
 // begin reads what the store has and then begins to plan.
 func (r *leadership) begin() error {
 	began := r.opts.Now()
-	agents, agentsVersion, err := readUntilDone(r, "agents", func() (map[string]string, int64, error) {
-		return r.opts.Ledger.Agents(r.ctx)
+	var agentsVersion int64
+	agents, err := readUntilDone(r, "agents", func() (agents map[string]string, err error) {
+		agents, agentsVersion, err = r.opts.Ledger.Agents(r.ctx)
+		return agents, err
 	})
 	if err != nil {
 		return err
 	}
 	r.awaitAgents(agents, began+grantLease+r.opts.Hold+leaseMargin)
-	load := r.opts.Ledger.NewLoad()
-	contents, version, err := readUntilDone(r, "jobs", func() (*ledger.Contents, int64, error) {
-		c, err := load.Run(r.ctx)
-		if err != nil {
-			return nil, 0, err
-		}
-		return c, c.Version, nil
-	})
+	contents, err := r.readJobs()
 	if err != nil {
 		return err
 	}
@@ -42,18 +37,24 @@
 	r.leader.leadership.Store(r)
 	r.run("plans", r.planLoop)
 	r.run("commits", r.commitLoop)
-	r.run("jobs", func() error { return r.followJobs(version) })
-	r.run("cancels", func() error { return r.followCancels(version) })
+	r.run("jobs", func() error { return r.followJobs(contents.Version) })
+	r.run("cancels", func() error { return r.followCancels(contents.Version) })
 	r.run("agents", func() error { return r.followAgents(agentsVersion) })
 	return nil
 }
 
-// readUntilDone repeats a read of the ledger until it succeeds.
-func readUntilDone[T any](r *leadership, what string, read func() (T, int64, error)) (T, int64, error) {
+// readJobs reads all that the ledger has of jobs.
+func (r *leadership) readJobs() (*ledger.Contents, error) {
+	load := r.opts.Ledger.NewLoad()
+	return readUntilDone(r, "jobs", func() (*ledger.Contents, error) { return load.Run(r.ctx) })
+}
+
+// readUntilDone repeats a read of the ledger until it succeeds or the term ends.
+func readUntilDone[T any](r *leadership, what string, read func() (T, error)) (T, error) {
 	for {
-		found, version, err := read()
+		found, err := read()
 		if err == nil || r.ctx.Err() != nil {
-			return found, version, err
+			return found, err
 		}
 		r.opts.Logger.WithError(err).WithField("what", what).Warn("ledger cannot be read")
 		pause(r.ctx, retryPause+rand.N(retryPause))
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -56,18 +56,12 @@
 // reload reads all jobs and cancels, of which the planner may know most.
 func (r *leadership) reload() (int64, error) {
 	r.opts.Logger.Warn("store has dropped the history of a feed; reading all jobs")
-	load := r.opts.Ledger.NewLoad()
-	c, version, err := readUntilDone(r, "jobs", func() (*ledger.Contents, int64, error) {
-		c, err := load.Run(r.ctx)
-		if err != nil {
-			return nil, 0, err
-		}
-		return c, c.Version, nil
-	})
-	if err == nil {
-		r.take(c)
+	c, err := r.readJobs()
+	if err != nil {
+		return 0, err
 	}
-	return version, err
+	r.take(c)
+	return c.Version, nil
 }
 
 // take passes new jobs and cancels to the planner.
@@ -106,9 +100,8 @@
 	}
 	r.early[id] = true
 	r.run("cancelled job", func() error {
-		c, _, err := readUntilDone(r, "cancelled job", func() (*ledger.Contents, int64, error) {
-			c, err := r.opts.Ledger.Find(r.ctx, id)
-			return c, 0, err
+		c, err := readUntilDone(r, "cancelled job", func() (*ledger.Contents, error) {
+			return r.opts.Ledger.Find(r.ctx, id)
 		})
 		if err != nil {
 			return nil // the term has ended; the next leader reads all cancels
