leader, ledger: an agent that returns is registered before anything is started there

Trace: a zone is cut off at 3 s; its 26 agents' leases run out, and at 8.9 to 9.1 s their registrations are removed. At 9.7 s the leader's links reach them again: they follow, get work, and have no reason to register. The next leader, at 18 s, does not know of them, does not wait, and starts their tasks elsewhere. That a runner was gone for a moment while its agent was lost does the same with one agent. Change: nothing that an agent without a registration sends is taken before the leader has registered it again; a removal names the version, so that one that is carried out late leaves a later registration. Found beside it, by reading: leases of an agent that is connected and has not told its state yet could outlast what the planner waits for; they end with it now.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -16,7 +16,7 @@
 func (r *leadership) begin() error {
 	began := r.opts.Now()
 	var agentsVersion int64
-	agents, err := readUntilDone(r, "agents", func() (agents map[string]string, err error) {
+	agents, err := readUntilDone(r, "agents", func() (agents map[string]ledger.Agent, err error) {
 		agents, agentsVersion, err = r.opts.Ledger.Agents(r.ctx)
 		return agents, err
 	})
@@ -76,7 +76,9 @@
 	r.logUnreadable(c)
 	r.restored = true
 	for _, k := range r.links {
-		k.takeHeld(now.Mono)
+		if k.registered {
+			k.takeHeld(now.Mono)
+		}
 	}
 }
 
@@ -100,13 +102,13 @@
 
 // awaitAgents makes the planner wait for all agents that may have runs of an
 // earlier leader, and begins their sessions once it knows of all.
-func (r *leadership) awaitAgents(agents map[string]string, lapseAt time.Duration) {
+func (r *leadership) awaitAgents(agents map[string]ledger.Agent, lapseAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id := range agents {
 		r.planner.AgentKnown(id, lapseAt)
 	}
-	for id, address := range agents {
-		r.addLink(id, address)
+	for id, a := range agents {
+		r.addLink(id, a)
 	}
 }
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -34,10 +32,10 @@
 				r.opts.Logger.WithError(err).Warn("ledger not tidied")
 			}
 		}
-		if err := r.removeAgents(); errors.Is(err, ledger.ErrDeposed) {
+		if err := r.tendAgents(); errors.Is(err, ledger.ErrDeposed) {
 			return err
 		} else if err != nil && r.ctx.Err() == nil {
-			r.opts.Logger.WithError(err).Warn("agents not removed")
+			r.opts.Logger.WithError(err).Warn("registrations of agents not changed")
 			pause(r.ctx, retryPause)
 		}
 		r.mu.Lock()
@@ -157,22 +155,3 @@
 	r.ended = nil
 	return nil
 }
-
-// removeAgents removes the registrations of agents on which nothing is alive, so
-// that a later leader need not wait for them. Those that return register again.
-func (r *leadership) removeAgents() error {
-	r.mu.Lock()
-	r.away = append(r.away, r.planner.TakeGone()...)
-	r.away = slices.DeleteFunc(r.away, func(id string) bool { return !r.planner.Gone(id) })
-	away := r.away
-	r.mu.Unlock()
-	if len(away) == 0 {
-		return nil
-	}
-	if err := r.term.RemoveAgents(r.ctx, away); err != nil {
-		return err
-	}
-	r.away = nil
-	r.opts.Logger.WithField("agents", strings.Join(away, ",")).Info("agents removed")
-	return nil
-}
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -23,6 +23,38 @@
 	mu      sync.Mutex
 	active  []*wirepb.RunActivity
 	got     []agentNews
+	// absent: it has no runner; mute: it sends beats and never its state.
+	absent, mute bool
+	sessions     []wire.Session
+}
+
+// hangUp ends all sessions.
+func (a *fakeAgent) hangUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		_ = s.Close()
+	}
+	a.sessions = nil
+}
+
+func (a *fakeAgent) set(change func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change()
+}
+
+// hello is the first message of a session.
+func (a *fakeAgent) hello() *wirepb.AgentMessage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.mute, Active: a.active, NoRunner: a.absent}
+	if !a.absent {
+		m.Runner = wire.RunnerInfo(&job.Runner{
+			ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
+		})
+	}
+	return m
 }
 
 type agentNews struct {
@@ -64,19 +96,13 @@
 	if err != nil {
 		return
 	}
+	a.set(func() { a.sessions = append(a.sessions, session) })
 	go func() {
-		for first := true; ctx.Err() == nil; first = false {
-			m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: first}
-			if first {
-				m.Active = a.active
-				m.Runner = wire.RunnerInfo(&job.Runner{
-					ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
-				})
-			}
-			if stream.Send(m) != nil {
-				return
-			}
+		m := a.hello()
+		for ctx.Err() == nil && stream.Send(m) == nil {
+			m = &wirepb.AgentMessage{}
 			time.Sleep(50 * time.Millisecond)
+			m.Beat = int64(boottime.Now())
 		}
 	}()
 	for {
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -132,11 +132,3 @@
 		return v, err
 	})
 }
-
-func (r *leadership) addAgents(agents map[string]string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, address := range agents {
-		r.addLink(id, address)
-	}
-}
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -52,9 +52,11 @@
 	// renewed is when the last successful renewal was sent.
 	renewed time.Duration
 
-	// away has the agents to be removed from the ledger, ended the jobs, large those whose
-	// rows are to be shrunk; only the commit loop uses them.
-	away, ended, large []string
+	// away has the agents whose registrations are to be removed or have been; ended has
+	// the jobs to be removed, large those whose rows are to be shrunk. Only the commit loop
+	// uses them.
+	away         map[string]bool
+	ended, large []string
 
 	plan   chan struct{}
 	commit chan struct{}
@@ -71,7 +73,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), links: map[string]*link{},
-		renewed: sent, early: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		renewed: sent, early: map[string]bool{}, away: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		group: group,
 	}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -50,7 +50,12 @@
 	beat, beatAt time.Duration
 	taken        endMark
 	acked        endMark
-	// held has the messages that came before the planner had the ledger's jobs.
+	// version is that of the agent's latest registration, removed the one that was removed
+	// last. Without registered, the ledger may not have it any more.
+	version, removed int64
+	registered       bool
+	// held has the messages that came before the planner had the ledger's jobs, or the
+	// ledger the agent.
 	held []*wirepb.AgentMessage
 
 	outMu sync.Mutex
@@ -61,12 +66,15 @@
 }
 
 // addLink is called with the leadership's lock held.
-func (r *leadership) addLink(id, address string) {
+func (r *leadership) addLink(id string, a ledger.Agent) {
 	if k := r.links[id]; k != nil {
-		k.address = address
+		k.address = a.Address
+		k.setRegistered(r.opts.Now(), a.Version)
 		return
 	}
-	k := &link{leadership: r, id: id, address: address, ready: make(chan struct{}, 1)}
+	k := &link{
+		leadership: r, id: id, address: a.Address, version: a.Version, registered: true, ready: make(chan struct{}, 1),
+	}
 	r.links[id] = k
 	r.run("session", k.run)
 }
@@ -236,19 +244,38 @@
 		k.beat, k.beatAt = time.Duration(m.Beat), now
 	}
 	if m.Beat != 0 && now < r.renewed+grantLease {
-		k.granted = now
-		k.send(func(out *wirepb.LeaderMessage) {
-			out.Grant = &wirepb.LeaseGrant{Beat: m.Beat, HoldMs: r.opts.Hold.Milliseconds()}
-		})
+		k.grant(now, m.Beat, m.Snapshot || connected)
+	}
+}
+
+// grant gives a lease. Until the agent has sent its state, runs that are not known must not
+// outlast what the planner waits for.
+func (k *link) grant(now time.Duration, beat int64, known bool) {
+	r := k.leadership
+	hold := r.opts.Hold
+	if known {
+		r.planner.AgentLeased(k.id, now+hold+leaseMargin)
+	} else if at, bounded := r.planner.LapseAt(k.id); bounded {
+		hold = min(hold, at-leaseMargin-now)
 	}
+	if hold <= 0 {
+		return
+	}
+	k.granted = max(k.granted, now+hold-r.opts.Hold)
+	k.send(func(out *wirepb.LeaderMessage) {
+		out.Grant = &wirepb.LeaseGrant{Beat: beat, HoldMs: hold.Milliseconds()}
+	})
 }
 
-// take passes a snapshot or an update on, or keeps it until the ledger's jobs are known.
+// take passes a snapshot or an update on, or keeps it until the ledger's jobs are known
+// and the ledger has the agent.
 func (k *link) take(now time.Duration, m *wirepb.AgentMessage) {
+	hold := !k.leadership.restored || !k.registered
 	switch {
-	case !k.leadership.restored && (m.Snapshot || tellsChange(m)):
+	case hold && (m.Snapshot || tellsChange(m)):
 		k.held = append(k.held, m)
-	case !k.leadership.restored:
+		kick(k.leadership.commit)
+	case hold:
 		// Figures of runs come again.
 	case m.Snapshot:
 		k.connected(now, m)
@@ -259,10 +286,11 @@
 
 // takeHeld passes on what was kept.
 func (k *link) takeHeld(now time.Duration) {
-	for _, m := range k.held {
+	held := k.held
+	k.held = nil
+	for _, m := range held {
 		k.take(now, m)
 	}
-	k.held = nil
 }
 
 // tellsChange says whether the message has more than figures of runs.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -88,7 +88,7 @@
 	lead(t, l, "p2")
 	test.ErrorIs(t, old.Renew(t.Context()), ledger.ErrDeposed)
 	test.ErrorIs(t, old.Commit(t.Context(), done(testID, job.Failed)), ledger.ErrDeposed)
-	test.ErrorIs(t, old.RemoveAgents(t.Context(), []string{"a"}), ledger.ErrDeposed)
+	test.ErrorIs(t, old.RemoveAgent(t.Context(), "a", 1), ledger.ErrDeposed)
 	test.ErrorIs(t, old.Forget(t.Context(), []string{testID}), ledger.ErrDeposed)
 }
 
@@ -226,10 +226,31 @@
 	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
 	agents, version, err := l.Agents(t.Context())
 	must.NoError(t, err)
-	test.Eq(t, map[string]string{"a": "10.0.0.9:1"}, agents)
-	must.NoError(t, lead(t, l, "p1").RemoveAgents(t.Context(), []string{"a"}))
+	test.Eq(t, "10.0.0.9:1", agents["a"].Address)
+	must.NoError(t, lead(t, l, "p1").RemoveAgent(t.Context(), "a", agents["a"].Version))
 	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
 	agents, _, err = l.FollowAgents(t.Context(), version, time.Second)
 	must.NoError(t, err)
 	test.MapLen(t, 1, agents)
 }
+
+// A removal that is carried out late, or again, does not touch a later registration.
+func TestRemoveAgent_LaterRegistration(t *testing.T) {
+	l, standin := newLedger(t)
+	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
+	agents, _, err := l.Agents(t.Context())
+	must.NoError(t, err)
+	held := lead(t, l, "p1")
+	standin.SetFault(platformtest.Lost)
+	must.Error(t, held.RemoveAgent(t.Context(), "a", agents["a"].Version))
+	standin.SetFault(platformtest.None)
+	version, err := held.RestoreAgent(t.Context(), "a", "10.0.0.9:1")
+	must.NoError(t, err)
+	must.NoError(t, held.RemoveAgent(t.Context(), "a", agents["a"].Version))
+	again, _, err := l.Agents(t.Context())
+	must.NoError(t, err)
+	test.Eq(t, ledger.Agent{Address: "10.0.0.9:1", Version: version}, again["a"])
+	lead(t, l, "p2")
+	_, err = held.RestoreAgent(t.Context(), "a", "10.0.0.9:1")
+	test.ErrorIs(t, err, ledger.ErrDeposed)
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -110,6 +110,12 @@
 	return store.Expect{Key: key(termTable, leaderKey), Version: h.Term.version}
 }
 
+// current says that the term's row was not what a conflict is about.
+func (h *HeldTerm) current(conflict *store.ConflictError) bool {
+	row, ok := conflict.Row(termTable, leaderKey)
+	return ok && row.Version == h.Term.version
+}
+
 // Renew shows the other entries that this process leads.
 func (h *HeldTerm) Renew(ctx context.Context) error {
 	return deposedBy(h.ledger.apply(ctx, store.Tx{
@@ -198,7 +204,7 @@
 // applied if the rows are as it writes them, since nobody else writes them while
 // the term lasts.
 func (h *HeldTerm) applied(tx store.Tx, conflict *store.ConflictError) error {
-	if row, ok := conflict.Row(termTable, leaderKey); !ok || row.Version != h.Term.version {
+	if !h.current(conflict) {
 		return fmt.Errorf("%w: %w", ErrDeposed, conflict)
 	}
 	h.doubtful = nil
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -302,6 +302,23 @@
 	}
 }
 
+// AgentLeased says that an agent whose state is about to be taken got a lease. What runs
+// there may be alive until lapseAt.
+func (p *Planner) AgentLeased(id string, lapseAt time.Duration) {
+	if a := p.agents[id]; a != nil && (a.state == lost || a.state == unknown) {
+		a.lapseAt = max(a.lapseAt, lapseAt)
+	}
+}
+
+// LapseAt is until when runs that are not known may be alive on an agent; bounded is false
+// if there are none.
+func (p *Planner) LapseAt(id string) (at time.Duration, bounded bool) {
+	if a := p.agents[id]; a != nil && (a.state == lost || a.state == unknown) {
+		return a.lapseAt, true
+	}
+	return 0, false
+}
+
 // expireLeases gives up the runs of agents whose leases have run out for certain.
 func (p *Planner) expireLeases(now time.Duration) {
 	for _, a := range p.order {
