executor, task: a run that ended uncounted ends its task also once it is placed again

A VM whose lease was revoked returns; from its registration on the scheduler may place the task there again, before the new process has looked at what its worker has finished. Change: a placed batch task that has not started takes the success of the run under the fence before, on the same VM and by the current incarnation. Nothing else can have run since.

--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -57,6 +57,14 @@
 	return o.status.Phase
 }
 
+// doneBefore reports whether the worker's last run of a placed batch task, under
+// the fence before, has succeeded without having been counted.
+func (o observation) doneBefore() bool {
+	t := o.row.Value
+	return t.State == structs.StatePlaced && t.Spec.Kind != structs.KindWatch &&
+		o.status != nil && o.status.Phase == platform.PhaseSucceeded && o.status.Fence == t.Fence-1
+}
+
 // foreign reports whether the reservation is not backed by a task of this VM.
 func (o observation) foreign() bool {
 	t := o.row.Value
@@ -91,6 +99,8 @@
 
 func decidePlaced(o observation) decision {
 	switch {
+	case o.doneBefore():
+		return decision{action: actSucceed}
 	case o.draining:
 		return requeue(requeueDraining)
 	case o.zoneOut:
--- a/internal/executor/sync.go
+++ b/internal/executor/sync.go
@@ -261,6 +261,9 @@
 // addReport adds a decision's transition to tx.
 func (e *Executor) addReport(tx *task.Tx, vm task.VMRow, o observation, d decision) error {
 	claim := task.Claim{Owner: o.me, Fence: o.row.Value.Fence}
+	if o.doneBefore() {
+		claim.Fence = o.status.Fence
+	}
 	switch d.action {
 	case actSucceed:
 		return tx.Succeed(o.row, vm, claim)
--- a/internal/executor/transition_test.go
+++ b/internal/executor/transition_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// A completion that was not reported counts also when the task is placed on the
+// VM again before its new process has looked at the worker.
+func TestCompletion_FoundAfterPlacedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run(t, 1, func(c *cluster) {
+			p := c.agent("a")
+			c.recovery()
+			c.scheduler()
+			spec := batchSpec()
+			spec.DurationMS = 10_000
+			c.submit(t, "t1", spec)
+			c.untilState(t, "t1", structs.StateRunning, 20*time.Second)
+			p.kill()
+			c.untilState(t, "t1", structs.StatePending, 5*time.Minute)
+			// Longer than the scheduler's interval, under the worker's timeout.
+			c.workers["a"].Faults().Set(standin.OpList, standin.Fault{Latency: 1500 * time.Millisecond})
+			c.agent("a")
+			c.untilState(t, "t1", structs.StateSucceeded, time.Minute)
+			must.Len(t, 1, c.runs("t1"))
+		})
+	})
+}
+
 // A worker that fails everything costs a batch task its attempts, with growing
 // delays, and never ends a watch.
 func TestFailingWorker(t *testing.T) {
--- a/internal/task/ops.go
+++ b/internal/task/ops.go
@@ -107,14 +107,17 @@
 }
 
 // Succeed ends a batch task and releases its reservation. A task that was
-// requeued without having been placed again still accepts the report, because
-// its fence proves that nothing else has run since. A watch has no end and is
-// requeued.
+// requeued and has not been started since still accepts the report, because its
+// fence proves that nothing else has run. A watch has no end and is requeued.
 func (x *Tx) Succeed(t Row, vm VMRow, claim Claim) error {
 	if t.Value.Spec.Kind == structs.KindWatch {
 		return x.Fail(t, vm, claim, "watch ended")
 	}
-	if err := checkReport(t.Value, claim); err != nil {
+	check := checkReport
+	if t.Value.State == structs.StatePlaced {
+		check = checkEarlierRun
+	}
+	if err := check(t.Value, claim); err != nil {
 		return err
 	}
 	return x.leave(t, vm, structs.StateSucceeded, "succeeded", nil)
@@ -136,6 +139,18 @@
 	return nil
 }
 
+// checkEarlierRun accepts, for a task that is placed again on the claim's VM and
+// has not started there, the fence of the run before.
+func checkEarlierRun(t structs.Task, claim Claim) error {
+	switch {
+	case t.Owner != claim.Owner:
+		return refuse(t.ID, RefusedNotOwner)
+	case t.Fence != claim.Fence+1:
+		return refuse(t.ID, RefusedStaleFence)
+	}
+	return nil
+}
+
 // Fail records a failed run: the task is requeued after a backoff, or fails for
 // good after MaxAttempts runs. A watch is always requeued. A task that was
 // ordered to stop becomes cancelled.
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -14,7 +14,7 @@
 // transitions lists, for each state, the states that may follow.
 var transitions = map[structs.TaskState][]structs.TaskState{
 	structs.StatePending:  {structs.StatePlaced, structs.StateCancelled, structs.StateFailed, structs.StateSucceeded},
-	structs.StatePlaced:   {structs.StateRunning, structs.StatePending, structs.StateCancelled},
+	structs.StatePlaced:   {structs.StateRunning, structs.StatePending, structs.StateCancelled, structs.StateSucceeded},
 	structs.StateRunning:  {structs.StateEvicting, structs.StateStopping, structs.StateSucceeded, structs.StateFailed, structs.StatePending},
 	structs.StateEvicting: {structs.StatePending, structs.StateSucceeded, structs.StateFailed, structs.StateStopping, structs.StateCancelled},
 	structs.StateStopping: {structs.StateCancelled, structs.StateSucceeded, structs.StateFailed},
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -198,6 +198,28 @@
 	}
 }
 
+// A task that is placed again on the VM of its last run and has not started there
+// takes that run's success, and no other report of an older fence.
+func TestSucceed_RunBeforePlacement(t *testing.T) {
+	before := task.Claim{Owner: owner, Fence: claim.Fence - 1}
+	x := task.NewTx(now)
+	must.NoError(t, x.Succeed(taskRow(structs.StatePlaced), vmRow(), before))
+	must.Eq(t, structs.StateSucceeded, x.Tasks()[0].Value.State)
+
+	for name, c := range map[string]task.Claim{
+		"two fences before": {Owner: owner, Fence: claim.Fence - 2},
+		"other VM":          {Owner: structs.Owner{VM: "vm2", Incarnation: owner.Incarnation}, Fence: claim.Fence - 1},
+		"older incarnation": {Owner: structs.Owner{VM: owner.VM, Incarnation: owner.Incarnation - 1}, Fence: claim.Fence - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := task.NewTx(now)
+			must.Error(t, x.Succeed(taskRow(structs.StatePlaced), vmRow(), c))
+			must.Error(t, x.Fail(taskRow(structs.StatePlaced), vmRow(), c, ""))
+			must.True(t, x.Empty())
+		})
+	}
+}
+
 // A checkpoint beside a transition of the same task is refused: the table takes a
 // row once in a transaction, and a transaction that it calls invalid would be
 // repeated for ever.
