planner: jobs yield that cannot all end in time; late ones stand still while new ones wait

Ordered by slack alone, each job is begun when it is nearly late and ends a little too late; and every job that stands still for 1 to 2 s got a task before all others, late or not: with some 35 jobs waiting these take a third of what fillers get. While jobs younger than 8 s wait, late ones get a task after 15 s instead of 1 to 2 s. One log line for each job that yields.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -130,6 +130,7 @@
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
 		"lapses": stats.Lapses, "failures": stats.Failures, "refusals": stats.Refusals,
+		"yields": stats.Yields,
 	}).Info("planner")
 	r.opts.Logger.WithFields(log.Fields{
 		"agents": fleet.Agents, "serving_agents": fleet.ServingAgents, "cpu_of": fleet.CapacityCPU, "cpu": fleet.UsedCPU,
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -14,6 +14,7 @@
 	startsTotal    = metrics.NewCounter("bamboowood_starts_ordered_total")
 	stopsTotal     = metrics.NewCounter("bamboowood_stops_ordered_total")
 	pacesTotal     = metrics.NewCounter("bamboowood_paces_ordered_total")
+	yieldsTotal    = metrics.NewCounter("bamboowood_jobs_yielded_total")
 	takeovers      = metrics.NewCounter("bamboowood_terms_led_total")
 	renewFailures  = metrics.NewCounter("bamboowood_term_renewals_failed_total")
 	jobsAside      = metrics.NewCounter("bamboowood_jobs_set_aside_total")
@@ -27,6 +28,7 @@
 	startsTotal.Add(len(o.Starts))
 	stopsTotal.Add(len(o.Stops))
 	pacesTotal.Add(len(o.Paces))
+	yieldsTotal.Add(len(o.Yields))
 }
 
 func countEnd(reason job.EndReason) {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -62,6 +62,11 @@
 			"over_ms": o.Over.Milliseconds(), "headroom": o.Headroom,
 		}).Info("pace ordered")
 	}
+	for _, y := range orders.Yields {
+		r.opts.Logger.WithFields(log.Fields{
+			"job": y.Job, "occurrence": y.Occurrence, "slack_ms": y.Slack.Milliseconds(), "ahead_ms": y.Ahead.Milliseconds(),
+		}).Info("job yields to others; not all can end in time")
+	}
 	for _, q := range orders.Questions {
 		r.run("advice", func() error { r.ask(q); return nil })
 	}
--- a/internal/planner/duration.go
+++ b/internal/planner/duration.go
@@ -24,6 +24,8 @@
 	// sum and count are of the tasks that are done, by step.
 	sum   []time.Duration
 	count []int
+	// lengths are what a task of each step is expected to take.
+	lengths []time.Duration
 	// tail is the longest chain from the start of each step to the end of the job.
 	tail      []time.Duration
 	objective time.Duration
@@ -32,7 +34,7 @@
 func newDurations(j *job.Job, bias float64) durations {
 	d := durations{
 		sum: make([]time.Duration, len(j.Steps)), count: make([]int, len(j.Steps)),
-		tail: make([]time.Duration, len(j.Steps)),
+		lengths: make([]time.Duration, len(j.Steps)), tail: make([]time.Duration, len(j.Steps)),
 	}
 	d.update(j, bias)
 	return d
@@ -49,7 +51,8 @@
 	clear(d.tail)
 	longest := time.Duration(0)
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		d.tail[i] += d.expected(j, i, bias)
+		d.lengths[i] = d.expected(j, i, bias)
+		d.tail[i] += d.lengths[i]
 		for _, before := range j.Steps[i].After {
 			d.tail[before] = max(d.tail[before], d.tail[i])
 		}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -32,6 +32,8 @@
 	Paces  []Pace
 	// Questions are for the service that knows a queue's policy.
 	Questions []Question
+	// Yields are reported, and ask for nothing.
+	Yields []Yield
 }
 
 // Plan returns the orders that follow from all events so far. mayStart is false
@@ -58,6 +60,7 @@
 		orders.Questions, p.questions = p.questions, nil
 	}
 	orders.Stops, p.stops = p.stops, nil
+	orders.Yields, p.yields = p.yields, nil
 	orders.Paces = p.paces(now.Mono)
 	return orders
 }
@@ -81,6 +84,12 @@
 const (
 	starvedAfter       = 2 * time.Second
 	starvedAfterIfFree = time.Second
+	// starvedAfterIfPressed holds for late jobs while new work waits: a task of each of
+	// them would take the room of jobs that can still end in time.
+	starvedAfterIfPressed = 15 * time.Second
+	// newWork is the age of a job below which it counts as new. The users look at what
+	// stands still 14 s after their last job (RULES, LOST).
+	newWork = 8 * time.Second
 	// freeShare of the CPU that is asked for counts as half in use; the rest is for
 	// runners that the users count and that are not known here yet.
 	freeShare = 0.6
@@ -98,11 +107,6 @@
 	if s.step.Continuous {
 		return c
 	}
-	if s.job.working == 0 && (now-s.job.idleSince > p.patience || s.job.starved && p.free) {
-		s.job.starved = true
-		c.rank = rankStarved
-		return c
-	}
 	finish := now + s.job.durations.tail[s.index]
 	c.slack = s.occ.due + s.job.durations.objective - finish
 	switch {
@@ -111,9 +115,21 @@
 	case c.slack < 0:
 		c.rank = rankLate
 	}
+	if s.job.working == 0 && p.starves(now, s, c.rank) {
+		s.job.starved = true
+		c.rank = rankStarved
+	}
 	return c
 }
 
+// starves says that a job without a task at work has stood still for too long.
+func (p *Planner) starves(now time.Duration, s *stepState, rank int) bool {
+	if p.pressed && (rank > rankInTime || s.occ.yielded) {
+		return now-s.job.idleSince > starvedAfterIfPressed
+	}
+	return now-s.job.idleSince > p.patience || s.job.starved && p.free
+}
+
 func (a candidate) compare(b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
@@ -145,6 +161,8 @@
 	clear(p.ready[len(kept):])
 	p.ready = kept
 	slices.SortStableFunc(candidates, candidate.compare)
+	p.shed(now, candidates)
+	slices.SortStableFunc(candidates, candidate.compare)
 	eject := p.ejectionAllowed(now)
 	for _, c := range candidates {
 		if p.spent() {
@@ -167,9 +185,15 @@
 		}
 	}
 	p.handling = ""
+	p.pressed = slices.ContainsFunc(candidates, func(c candidate) bool { return c.presses(now) })
 	p.stats.Starts += int64(len(p.starts) - begun)
 }
 
+// presses says that the candidate is new, can end in time and waits for room.
+func (c candidate) presses(now time.Duration) bool {
+	return c.rank == rankInTime && !c.step.step.Continuous && c.step.waiting > 0 && now-c.step.occ.due < newWork
+}
+
 // spent says that no further start may be ordered in this plan.
 func (p *Planner) spent() bool { return p.bounded && p.budget <= 0 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -69,6 +69,7 @@
 	// questions are to be asked; asking counts those without an answer.
 	questions []Question
 	asking    int
+	yields    []Yield
 	stats     Stats
 
 	interference *interference.Model
@@ -76,9 +77,9 @@
 	// estimated.
 	bias map[string]float64
 	// patience is how long a job may stand still at present; free says that most of
-	// the fleet's CPU is not asked for.
-	patience time.Duration
-	free     bool
+	// the fleet's CPU is not asked for, pressed that new jobs waited after the last plan.
+	patience      time.Duration
+	free, pressed bool
 	// budget is how many bytes of payload may still be ordered in this plan, if bounded.
 	budget  int64
 	bounded bool
@@ -92,7 +93,7 @@
 
 // Stats count decisions since the planner was made.
 type Stats struct {
-	Starts, Stops, Stalls, Lapses, Failures, Refusals int64
+	Starts, Stops, Stalls, Lapses, Failures, Refusals, Yields int64
 }
 
 // New returns a planner that knows no job and no agent.
@@ -139,6 +140,8 @@
 	due   time.Duration
 	steps []stepState
 	left  int
+	// yielded says that it has given way to others before.
+	yielded bool
 }
 
 type stepState struct {
