supervisor, planner: a start that reached a runner's next life under the same id is not forgotten

Trace: runner crashes at 35.105 s and begins anew under its id; a start is sent at 35.302 s and taken, since the life that it names is the id; the report of the new life comes at 35.530 s, the agent forgets all runs, the leader starts the task elsewhere at 35.587 s. Change: a new life under the same id keeps what is ordered and doubts the rest; its first list settles which runs are alive, and the leader is told of the new life with that list, not before. The call that waits for the old life is ended. Runs of a life with another id are gone as before, since starts name the id.

--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -303,7 +303,7 @@
 	r := k.leadership
 	if m.Runner != nil || m.NoRunner {
 		k.ends(now, m)
-		r.planner.RunnerChanged(now, k.id, wire.Runner(m.Runner))
+		r.planner.RunnerChanged(now, k.id, wire.Runner(m.Runner), wire.Activities(m.Active))
 	} else {
 		k.ends(now, m)
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -114,6 +114,11 @@
 	}
 	p.setState(a, live)
 	p.setRunner(a, r)
+	p.listed(now, a, active)
+}
+
+// listed takes all runs that may be alive on an agent.
+func (p *Planner) listed(now time.Duration, a *agent, active []job.Activity) {
 	listed := make(map[job.Run]bool, len(active))
 	for _, act := range active {
 		listed[act.Run] = true
@@ -227,8 +232,7 @@
 	}
 }
 
-// setRunner takes what the runner says of itself. A new life has none of the
-// runs of the one before.
+// setRunner takes what the runner says of itself.
 func (p *Planner) setRunner(a *agent, r *job.Runner) {
 	if r == nil || a.runner != nil && !a.runner.SameLife(r) {
 		a.health = health{}
@@ -240,9 +244,9 @@
 	}
 }
 
-// RunnerChanged takes a report of the runner of a connected agent. Runs of an
-// earlier life are gone.
-func (p *Planner) RunnerChanged(now time.Duration, id string, r *job.Runner) {
+// RunnerChanged takes a report of the runner of a connected agent. With a new life active
+// has all runs that may be alive there.
+func (p *Planner) RunnerChanged(now time.Duration, id string, r *job.Runner, active []job.Activity) {
 	a := p.agents[id]
 	if a == nil || a.state != live {
 		return
@@ -250,9 +254,7 @@
 	newLife := a.runner != nil && (r == nil || !a.runner.SameLife(r))
 	p.setRunner(a, r)
 	if newLife {
-		for _, r := range a.runs {
-			p.runGone(now, r)
-		}
+		p.listed(now, a, active)
 	}
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -217,7 +217,7 @@
 func TestPlanner_AgentLeavesAfterItsRunner(t *testing.T) {
 	f := newFixture(t, 1)
 	f.agent("a")
-	f.RunnerChanged(f.now, "a", nil)
+	f.RunnerChanged(f.now, "a", nil, nil)
 	f.AgentLost("a", f.now+time.Hour)
 	test.Eq(t, []string{"a"}, f.TakeGone())
 	test.Len(t, 0, f.TakeGone())
@@ -330,7 +330,7 @@
 	f.Reported(f.now, "a", []job.Activity{{Run: run, Percent: 1}})
 	leaving := testRunner("a")
 	leaving.Draining, leaving.Remaining = true, 2*time.Second
-	f.RunnerChanged(f.now, "a", leaving)
+	f.RunnerChanged(f.now, "a", leaving, nil)
 	f.add(testJob(2, step(1)), nil, false)
 	orders := f.plan()
 	test.Len(t, 0, orders.Starts)
@@ -366,6 +366,22 @@
 	test.Eq(t, map[string]int{old.ID: 1, young.ID: 15}, counts)
 }
 
+// A start may reach a new life of a runner that has kept its id before its agent knows of
+// it: what the agent lists with the new life goes on, all else is started again.
+func TestPlanner_RunOfTheNextLife(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(2)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 2, starts)
+	next := testRunner("a")
+	next.Born = 2
+	f.RunnerChanged(f.now, "a", next, []job.Activity{{Run: starts[1].Run}})
+	again := f.plan().Starts
+	must.Len(t, 1, again)
+	test.Eq(t, starts[0].Run.Task, again[0].Run.Task)
+}
+
 // The largest runner is known once all agents have been heard of.
 func TestPlanner_Largest(t *testing.T) {
 	f := newFixture(t, 2)
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -75,10 +75,11 @@
 	if waiting {
 		order.Wait = holdWait
 	}
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeout)
+	s.cancelHold = cancel
 	s.mu.Unlock()
 
 	began := s.opts.Now()
-	callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeout)
 	report, err := s.opts.Runner.Hold(callCtx, fence, order)
 	cancel()
 
@@ -168,6 +169,7 @@
 	clear(s.runs)
 	s.ends = nil
 	s.refusedAt, s.leaseEnd = 0, 0
+	s.reborn = false
 	s.update.Active, s.update.Ends = nil, nil
 	s.runnerChanged()
 }
@@ -206,6 +208,10 @@
 			s.notListed(began, run, r)
 		}
 	}
+	if s.reborn {
+		s.reborn = false
+		s.update = s.whole()
+	}
 	if now := s.opts.Now(); now-s.pacedAt >= reportInterval {
 		s.pacedAt = now
 		s.pace(report.Active)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -121,6 +121,11 @@
 	// them to this process, or the leases of an earlier one have run out.
 	ready   bool
 	readyAt time.Duration
+	// reborn says that the runner has begun a new life under the same id and has not listed
+	// its runs yet. Starts for the life before may have reached it.
+	reborn bool
+	// cancelHold ends the call under way that waits for the runner's lists.
+	cancelHold context.CancelFunc
 
 	pacer   pacer
 	pacedAt time.Duration
@@ -138,6 +143,11 @@
 	born int64
 }
 
+// rebornLeases times the longest lease that this process gives are over when those have run
+// out that a new life of the runner has taken from starts for the one before: these name a
+// time on the other life's clock, and the runner shortens them to a limit of its own.
+const rebornLeases = 2
+
 // maxCalls bounds the concurrent orders to the runner.
 const maxCalls = 10
 
@@ -165,27 +175,36 @@
 func (s *Supervisor) TakeUpdate() (u Update, any bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.reborn && !s.known() {
+		return Update{}, false
+	}
 	u, s.update = s.update, Update{}
 	return u, !u.empty()
 }
 
+// known says that all runs that may be alive are.
+func (s *Supervisor) known() bool { return s.ready || s.opts.Now() >= s.readyAt }
+
 // Snapshot returns the whole state: the runner, all runs that may be alive and
 // all ends that are not stored. Updates before it are dropped. ok is false while
 // the runs are not known.
 func (s *Supervisor) Snapshot() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready && s.opts.Now() < s.readyAt {
+	if !s.known() {
 		return Update{}, false
 	}
-	u = Update{
-		RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...),
-	}
+	s.update = Update{}
+	return s.whole(), true
+}
+
+// whole is the state as an update.
+func (s *Supervisor) whole() Update {
+	u := Update{RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...)}
 	for _, r := range s.runs {
 		u.Active = append(u.Active, r.activity)
 	}
-	s.update = Update{}
-	return u, true
+	return u
 }
 
 // Permit lets the lease last until a time on Now's clock.
@@ -268,26 +287,47 @@
 	s.runnerChanged()
 }
 
-// newLife forgets all runs: a new life has none of the runs of the one before.
+// newLife takes a life of the runner that is new here.
 func (s *Supervisor) newLife(r *job.Runner) {
+	reborn := s.runner != nil && s.runner.ID == r.ID
 	if s.runner != nil {
 		s.past[life{s.runner.ID, s.runner.Born}] = true
 		s.token++
 		s.opts.Logger.WithFields(log.Fields{
-			"runner": s.runner.ID, "new_runner": r.ID, "born": r.Born, "runs_lost": len(s.runs),
+			"runner": s.runner.ID, "new_runner": r.ID, "born": r.Born, "runs": len(s.runs),
 		}).Warn("runner has been replaced by a new life")
 	} else {
 		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.Born}).Info("runner found")
 	}
+	if s.cancelHold != nil {
+		s.cancelHold()
+	}
 	s.runner = r
-	clear(s.runs)
 	s.ends, s.lastEnd, s.storedEnd = nil, 0, 0
 	s.leaseEnd, s.clock, s.clockAt, s.failures = 0, 0, 0, 0
 	s.update.Active, s.update.Ends = nil, nil
+	if reborn {
+		s.doubtRuns()
+	} else {
+		clear(s.runs)
+	}
 	s.runnerChanged()
 	s.signal(s.wake)
 }
 
+// doubtRuns keeps the runs of a life whose id the runner has kept. A start that was sent
+// before this process knew of the new life may have reached it: its first list settles
+// which of them are alive, and the leader is told with it.
+func (s *Supervisor) doubtRuns() {
+	now := s.opts.Now()
+	s.reborn, s.ready = true, false
+	s.readyAt = now + rebornLeases*s.opts.MaxHold
+	s.leaseEnd = s.readyAt
+	for _, r := range s.runs {
+		r.resolved, r.resolvedAt, r.reason = r.phase != ordered, now, runner.RefusedGone
+	}
+}
+
 func (s *Supervisor) runnerChanged() {
 	s.update.RunnerChanged, s.update.Runner = true, s.runner
 	s.signal(s.notify)
