--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -101,6 +102,9 @@
 	return net.JoinHostPort(n.node.IP, fmt.Sprint(n.node.PeerPortFirst))
 }
 
+// advertised is where other processes reach the peer address.
+func (n *PlatformNode) advertised() string { return cmp.Or(n.node.Advertise, n.peerAddress()) }
+
 // storeChanged tells that the store has ceased to answer or answers again.
 func (n *PlatformNode) storeChanged(answers bool, unanswered time.Duration) {
 	entry := n.logger.WithField("unanswered_ms", unanswered.Milliseconds())
@@ -131,7 +135,7 @@
 	}
 	lead := leader.New(leader.Options{
 		Advisor: advisor,
-		Ledger:  book, CallersLedger: callersBook, Logger: n.logger, Address: n.peerAddress(), Process: uuid.NewString(),
+		Ledger:  book, CallersLedger: callersBook, Logger: n.logger, Address: n.advertised(), Process: uuid.NewString(),
 		Site: sites.State, Now: boottime.Now, Hold: n.hold(), LinkRate: n.node.LinkRate,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.Early, KeepEnded: n.node.Bounds.Keep,
@@ -258,7 +262,7 @@
 	})
 	follow := follower.New(follower.Options{
 		Supervisor: super, Ledger: book, Logger: n.logger,
-		Name: n.node.IP, Address: n.peerAddress(), Now: boottime.Now,
+		Name: n.node.IP, Address: n.advertised(), Now: boottime.Now,
 	})
 	peers, err := net.Listen("tcp", n.peerAddress())
 	if err != nil {
