daemon, intake: SIGHUP is handled from the first step on; a panic while the leader is told is contained

The handler is now set before the settings are read. By reading: the two goroutines that tell the leader of a stored job or cancel were not contained; TestEntry_PanicWhileTheLeaderIsTold ended the test's process before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -62,7 +62,8 @@
 	path   string
 	logs   *logline.Handler
 	logger *log.Logger
-	// hup takes SIGHUP from the start on: unhandled it would end the process.
+	// hup takes SIGHUP from the start on: unhandled it would end the process. It is nil in
+	// tests within one process.
 	hup chan os.Signal
 	// stopping is set from SIGTERM on.
 	stopping atomic.Bool
@@ -70,6 +71,8 @@
 
 // NewPlatformNode reads the settings file that the platform names.
 func NewPlatformNode(role string) (*PlatformNode, error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	node, err := platform.LoadNode(path)
 	if err != nil {
@@ -79,7 +82,9 @@
 	log.SetHandler(logs)
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
-	return newPlatformNode(role, path, node, logs), nil
+	n := newPlatformNode(role, path, node, logs)
+	n.hup = hup
+	return n, nil
 }
 
 func newPlatformNode(role, path string, node platform.Node, logs *logline.Handler) *PlatformNode {
@@ -87,9 +92,7 @@
 	logger.WithFields(log.Fields{
 		"role": role, "node": node.Name, "zone": node.Zone, "ip": node.IP, "pid": os.Getpid(),
 	}).Info("process starts")
-	n := &PlatformNode{node: node, path: path, logs: logs, logger: logger, hup: make(chan os.Signal, 1)}
-	signal.Notify(n.hup, syscall.SIGHUP)
-	return n
+	return &PlatformNode{node: node, path: path, logs: logs, logger: logger}
 }
 
 // Close writes the last log lines.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"bamboowood/internal/contain"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/site"
@@ -127,7 +128,7 @@
 		if err == nil {
 			count("accepted")
 			logger.WithField("took_ms", time.Since(began).Milliseconds()).Info("job accepted")
-			go e.Leader.Accepted(context.WithoutCancel(ctx), j)
+			e.tell("accepted job", func() { e.Leader.Accepted(context.WithoutCancel(ctx), j) })
 			return nil
 		}
 		refused := errors.Is(err, store.ErrRefused)
@@ -169,7 +170,7 @@
 		if err == nil {
 			count("cancelled")
 			e.Logger.WithField("job", id).Info("job cancelled")
-			go e.Leader.Cancelled(context.WithoutCancel(ctx), id)
+			e.tell("cancelled job", func() { e.Leader.Cancelled(context.WithoutCancel(ctx), id) })
 			return nil
 		}
 		e.Logger.WithError(err).WithField("job", id).Warn("cancel not stored")
@@ -181,6 +182,13 @@
 	}
 }
 
+// tell passes on to the leader what is stored; its feeds have it, too.
+func (e *Entry) tell(what string, pass func()) {
+	go func() {
+		_ = contain.Do(e.Logger, what, func() error { pass(); return nil })
+	}()
+}
+
 // Status implements Intake. A job that the leader does not know may have been
 // accepted a moment ago; then the ledger has it.
 func (e *Entry) Status(ctx context.Context, id string) (job.State, error) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -54,6 +54,8 @@
 	// largest is told if it is not zero; questions counts how often it was asked for.
 	largest   job.Resources
 	questions int
+	// accepted is called for each job that is passed on.
+	accepted func()
 }
 
 func (f *fakeLeader) Largest(context.Context, string) (job.Resources, bool) {
@@ -65,10 +67,14 @@
 	return f.state, f.state != "", f.leading
 }
 func (f *fakeLeader) Waiting(context.Context, string) (int, bool) { return 3, f.leading }
-func (f *fakeLeader) Accepted(context.Context, *job.Job)          {}
-func (f *fakeLeader) Cancelled(context.Context, string)           {}
-func (f *fakeLeader) Store(context.Context, *job.Job) error       { return f.relay }
-func (f *fakeLeader) StoreCancel(context.Context, string) error   { return f.relay }
+func (f *fakeLeader) Accepted(context.Context, *job.Job) {
+	if f.accepted != nil {
+		f.accepted()
+	}
+}
+func (f *fakeLeader) Cancelled(context.Context, string)         {}
+func (f *fakeLeader) Store(context.Context, *job.Job) error     { return f.relay }
+func (f *fakeLeader) StoreCancel(context.Context, string) error { return f.relay }
 func entry(s *fakeStore, l *fakeLeader) *Entry {
 	return &Entry{Ledger: ledger.New(s, store.NewBulk(s, 0)), Leader: l, Logger: &log.Logger{Handler: discard.Default}}
 }
@@ -77,6 +83,14 @@
 	return &job.Job{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Tasks: 1}}}
 }
 
+// A panic while the leader is told of a job ends neither the process nor the job.
+func TestEntry_PanicWhileTheLeaderIsTold(t *testing.T) {
+	told := make(chan struct{})
+	e := entry(&fakeStore{errs: []error{nil}}, &fakeLeader{accepted: func() { defer close(told); panic("tripped") }})
+	must.NoError(t, e.Submit(t.Context(), goodJob()))
+	<-told
+}
+
 // A job is refused only if no try to store it can have had an effect.
 func TestEntry_Submit(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -61,7 +61,7 @@
 }
 
 func (w *world) terminate(p *process) {
-	if took, ended := p.terminate(grace); !ended {
+	if took, killed := p.terminate(grace); killed {
 		w.record.fail("%s did not end within %s of SIGTERM (%s)", p.name, grace, took)
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -58,9 +58,13 @@
 	peers    *link
 	links    []*link
 
-	mu   sync.Mutex // guards cmd and one fault at a time that ends or starts it
-	cmd  *exec.Cmd
 	logs *logs
+
+	mu  sync.Mutex // held by one fault at a time that ends or starts the process
+	cmd *exec.Cmd
+	// ended is closed when cmd has ended; stopping says that it was asked to.
+	ended    chan struct{}
+	stopping bool
 }
 
 // world is a deployment of separate processes over stand-ins of the platform.
@@ -159,23 +163,54 @@
 	cmd.Env = append(os.Environ(), runAs+"=bamboowoodd", "BAMBOOWOOD_SETTINGS="+p.path())
 	cmd.Stdout, cmd.Stderr = p.logs, p.logs
 	must.NoError(p.w.t, cmd.Start())
-	p.cmd = cmd
+	p.cmd, p.ended, p.stopping = cmd, make(chan struct{}), false
+	go p.supervise(cmd, p.ended)
+}
+
+// supervise starts the process again if it ends unasked, as the platform does. Only a
+// signal that comes before the program has begun may end it.
+func (p *process) supervise(cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	close(ended)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != cmd || p.stopping {
+		return
+	}
+	if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); !ok || !status.Signaled() {
+		p.w.record.fail("%s ended by itself: %v", p.name, err)
+	}
+	<-time.After(killedRestart)
+	p.start()
 }
 
-// kill ends the process at once, also if it is stopped.
+// end ends the process by a signal; after limit it is killed. It is called with mu held.
+func (p *process) end(s os.Signal, limit time.Duration) (took time.Duration, killed bool) {
+	begin := time.Now()
+	p.stopping = true
+	_ = p.cmd.Process.Signal(s) // it may have ended
+	select {
+	case <-p.ended:
+	case <-time.After(limit):
+		killed = true
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+	return time.Since(begin), killed
+}
+
+// kill ends the process for good, also if it is stopped.
 func (p *process) kill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Kill() // it may have ended
-	_ = p.cmd.Wait()
+	p.end(os.Kill, time.Hour)
 }
 
 // killFor kills the process and starts it again.
 func (p *process) killFor(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Kill()
-	_ = p.cmd.Wait()
+	p.end(os.Kill, time.Hour)
 	<-time.After(d)
 	p.start()
 }
@@ -189,20 +224,14 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// terminate asks the process to end and starts it again. It returns how long the end
-// took; false if it had to be killed.
-func (p *process) terminate(limit time.Duration) (took time.Duration, ended bool) {
+// terminate asks the process to end and starts it again.
+func (p *process) terminate(limit time.Duration) (took time.Duration, killed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	begin := time.Now()
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
-	killer := time.AfterFunc(limit, func() { _ = p.cmd.Process.Kill() })
-	_ = p.cmd.Wait()
-	ended = killer.Stop()
-	took = time.Since(begin)
+	took, killed = p.end(syscall.SIGTERM, limit)
 	<-time.After(killedRestart)
 	p.start()
-	return took, ended
+	return took, killed
 }
 
 // reload changes the settings file and says so.
