--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -52,3 +52,19 @@
 	test.Zero(t, f.agents["a"].used.MemoryMB)
 	test.MapEmpty(t, f.agents["a"].runs)
 }
+
+// A start may reach a new life of a runner that has kept its id before its agent knows of
+// it: what the agent lists with the new life goes on, all else is started again.
+func TestPlanner_RunOfTheNextLife(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(2)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 2, starts)
+	next := testRunner("a")
+	next.Born = 2
+	f.RunnerChanged(f.now, "a", next, []job.Activity{{Run: starts[1].Run}})
+	again := f.plan().Starts
+	must.Len(t, 1, again)
+	test.Eq(t, starts[0].Run.Task, again[0].Run.Task)
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -366,22 +366,6 @@
 	test.Eq(t, map[string]int{old.ID: 1, young.ID: 15}, counts)
 }
 
-// A start may reach a new life of a runner that has kept its id before its agent knows of
-// it: what the agent lists with the new life goes on, all else is started again.
-func TestPlanner_RunOfTheNextLife(t *testing.T) {
-	f := newFixture(t, 1)
-	f.agent("a")
-	f.add(testJob(1, step(2)), nil, false)
-	starts := f.plan().Starts
-	must.Len(t, 2, starts)
-	next := testRunner("a")
-	next.Born = 2
-	f.RunnerChanged(f.now, "a", next, []job.Activity{{Run: starts[1].Run}})
-	again := f.plan().Starts
-	must.Len(t, 1, again)
-	test.Eq(t, starts[0].Run.Task, again[0].Run.Task)
-}
-
 // The largest runner is known once all agents have been heard of.
 func TestPlanner_Largest(t *testing.T) {
 	f := newFixture(t, 2)
