planner, supervisor: an order on its way to a runner's next life is not given again

Trace: orders to start leave the leader at 9.499 s, the agent's report of the next life at 9.500 s; the leader takes all that is not listed with it as gone, orders again at 9.508 s, and the agent starts both. Change: a run that was never confirmed is gone only when the agent says so. Agents say so of every run that they drop, also with a life under another id or a process that has ended. An agent that is lost without a runner counts as lost, not as gone, while such runs are open. Before and after: TestPlanner_OrderOnItsWayToTheNextLife, TestPlanner_OrderOnItsWayToALostAgent and the new lines of TestSupervisor_NewLife and _StartReachesTheNextLife fail without it.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -114,18 +114,18 @@
 	}
 	p.setState(a, live)
 	p.setRunner(a, r)
-	p.listed(now, a, active)
+	p.listed(now, a, active, func(*run) bool { return true })
 }
 
-// listed takes all runs that may be alive on an agent.
-func (p *Planner) listed(now time.Duration, a *agent, active []job.Activity) {
+// listed takes the runs that may be alive on an agent. The others are gone, if lost says so.
+func (p *Planner) listed(now time.Duration, a *agent, active []job.Activity, lost func(*run) bool) {
 	listed := make(map[job.Run]bool, len(active))
 	for _, act := range active {
 		listed[act.Run] = true
 		p.adopt(now, a, act)
 	}
 	for id, r := range a.runs {
-		if !listed[id] {
+		if !listed[id] && lost(r) {
 			p.runGone(now, r)
 		}
 	}
@@ -245,7 +245,8 @@
 }
 
 // RunnerChanged takes a report of the runner of a connected agent. With a new life active
-// has all runs that may be alive there.
+// has the runs that may be alive there. Of a run that has not been confirmed the order may
+// still be on its way to the agent, which tells what becomes of it.
 func (p *Planner) RunnerChanged(now time.Duration, id string, r *job.Runner, active []job.Activity) {
 	a := p.agents[id]
 	if a == nil || a.state != live {
@@ -254,7 +255,7 @@
 	newLife := a.runner != nil && (r == nil || !a.runner.SameLife(r))
 	p.setRunner(a, r)
 	if newLife {
-		p.listed(now, a, active)
+		p.listed(now, a, active, func(r *run) bool { return r.confirmedAt != 0 })
 	}
 }
 
@@ -293,7 +294,7 @@
 	a := p.agents[id]
 	switch {
 	case a == nil:
-	case a.state == live && a.runner == nil:
+	case a.state == live && a.runner == nil && len(a.runs) == 0:
 		// Without a runner nothing runs, and nothing can be started.
 		p.setGone(a)
 	case a.state == live:
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -61,6 +61,9 @@
 	f.add(testJob(1, step(2)), nil, false)
 	starts := f.plan().Starts
 	must.Len(t, 2, starts)
+	for _, s := range starts {
+		f.Reported(f.now, "a", []job.Activity{{Run: s.Run}})
+	}
 	next := testRunner("a")
 	next.Born = 2
 	f.RunnerChanged(f.now, "a", next, []job.Activity{{Run: starts[1].Run}})
@@ -68,3 +71,35 @@
 	must.Len(t, 1, again)
 	test.Eq(t, starts[0].Run.Task, again[0].Run.Task)
 }
+
+// An order that is on its way while the agent tells of a new life of its runner is not
+// given again before the agent has told what became of it.
+func TestPlanner_OrderOnItsWayToTheNextLife(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.agent("b")
+	f.add(testJob(1, step(1)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	next := testRunner(starts[0].Agent)
+	next.Born = 2
+	f.RunnerChanged(f.now, starts[0].Agent, next, nil)
+	must.Len(t, 0, f.plan().Starts)
+	f.Refused(f.now, starts[0].Agent, starts[0].Run, RefusedLate)
+	f.now += time.Second
+	must.Len(t, 1, f.plan().Starts)
+}
+
+// An agent that is lost without a runner may still have an order on its way to it.
+func TestPlanner_OrderOnItsWayToALostAgent(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	must.Len(t, 1, f.plan().Starts)
+	f.RunnerChanged(f.now, "a", nil, nil)
+	f.AgentLost("a", f.now+time.Second)
+	f.agent("b")
+	must.Len(t, 0, f.plan().Starts)
+	f.now += time.Second
+	must.Len(t, 1, f.plan().Starts)
+}
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -179,7 +179,7 @@
 	s.past[life{s.runner.ID, s.runner.Born}] = true
 	s.token++
 	s.runner = nil
-	clear(s.runs)
+	s.runsLost()
 	s.ends = nil
 	s.refusedAt, s.leaseEnd = 0, 0
 	s.reborn = false
@@ -191,9 +191,7 @@
 // its lease. An order to start that is still under way carries a lease that has
 // run out, too.
 func (s *Supervisor) runsLapsed() {
-	for run := range s.runs {
-		s.gone(run, runner.RefusedLate)
-	}
+	s.runsLost()
 	s.leaseEnd = 0
 }
 
@@ -223,7 +221,9 @@
 	}
 	if s.reborn {
 		s.reborn = false
+		refused := s.update.Refused
 		s.update = s.whole()
+		s.update.Refused = refused
 	}
 	if now := s.opts.Now(); now-s.pacedAt >= reportInterval {
 		s.pacedAt = now
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -20,7 +20,10 @@
 		b.fake.mu.Lock()
 		b.fake.active, b.fake.ends, b.fake.acked = nil, nil, 0
 		b.fake.mu.Unlock()
+		b.TakeUpdate()
 		b.report("i-2", 1)
+		u, _ := b.TakeUpdate()
+		test.Len(t, 1, u.Refused, test.Sprint("the leader is told of each run that is lost"))
 		b.report("i-1", 9)
 		snapshot, ok := b.Snapshot()
 		must.True(t, ok)
@@ -61,6 +64,8 @@
 		test.Eq(t, 200, u.Runner.Born)
 		must.Len(t, 1, u.Active)
 		test.Eq(t, second, u.Active[0].Run)
+		must.Len(t, 1, u.Refused)
+		test.Eq(t, 1, u.Refused[0].Run.Number)
 	})
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -314,12 +314,20 @@
 	if reborn {
 		s.doubtRuns()
 	} else {
-		clear(s.runs)
+		s.runsLost()
 	}
 	s.runnerChanged()
 	s.signal(s.wake)
 }
 
+// runsLost gives up all runs with the life that they were for. The leader may not know yet
+// that some of them were ordered.
+func (s *Supervisor) runsLost() {
+	for run := range s.runs {
+		s.gone(run, runner.RefusedLate)
+	}
+}
+
 // doubtRuns keeps the runs of a life whose id the runner has kept. A start that was sent
 // before this process knew of the new life may have reached it: its first list settles
 // which of them are alive, and the leader is told with it.
