--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -40,8 +40,6 @@
 	accepted, open bool
 	// cancelled: a cancel had a 2xx; cancelSent: one was sent.
 	cancelled, cancelSent bool
-	// ended is what was last shown of it.
-	ended job.State
 }
 
 // refused says that all attempts were answered, and none was accepted.
