--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -49,10 +49,10 @@
 	return !s.accepted && !s.open
 }
 
-func (s *submission) is(accepted, cancelSent, cancelled *bool) {
+func (s *submission) answers() (accepted, cancelSent, cancelled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	*accepted, *cancelSent, *cancelled = s.accepted, s.cancelSent, s.cancelled
+	return s.accepted, s.cancelSent, s.cancelled
 }
 
 // registry has all submissions of a run.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -143,8 +143,7 @@
 	}
 	wanted := 0
 	for _, s := range w.jobs.all() {
-		var accepted, cancelSent, cancelled bool
-		s.is(&accepted, &cancelSent, &cancelled)
+		accepted, cancelSent, cancelled := s.answers()
 		if !accepted && !cancelled {
 			continue
 		}
