--- a/internal/planner/overload.go
+++ b/internal/planner/overload.go
@@ -22,8 +22,8 @@
 type Yield struct {
 	Job        string
 	Occurrence int
-	// Slack is what it had left, Ahead the work of those with less or as little, in seconds
-	// of all the CPU that fillers get.
+	// Slack is what it had left until its objective; Ahead is the work that was kept, as the
+	// time that it takes with all the CPU that fillers get.
 	Slack, Ahead time.Duration
 }
 
