platformtest, test/soak: leases are shortened as the protocol says; runs of the soak get addresses of their own

A run claims a block of them now. Trace in docs/incidents: a lease on the old life's clock, which the stand-in granted whole and PROTOCOL shortens. The stand-in shortens it; what is left where holdMaxMs is 10 s is listed as open there.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -58,6 +58,7 @@
 }
 
 func TestSoak(t *testing.T) {
+	claimBlock(t)
 	all := append([]int64(nil), regressions...)
 	for i := range *seeds {
 		if seed := *firstSeed + int64(i); !slices.Contains(regressions, seed) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -80,8 +80,28 @@
 	jobs    *registry
 }
 
-// address returns the i-th loopback address of a world of its own for each slot.
-func address(slot, i int) string { return fmt.Sprintf("127.0.%d.%d", 40+slot, i) }
+// Loopback addresses are 127.BLOCK.SLOT.i: a block for each run of the tests, so that
+// several may run at once, and a slot for each deployment of a run.
+const (
+	firstBlock = 40
+	lastBlock  = 250
+	blockPort  = "18160"
+)
+
+var block int
+
+// claimBlock takes a block that no other run has, until the test ends.
+func claimBlock(t *testing.T) {
+	for block = firstBlock; block <= lastBlock; block++ {
+		if ln, err := net.Listen("tcp", net.JoinHostPort(address(0, 1), blockPort)); err == nil {
+			t.Cleanup(func() { _ = ln.Close() })
+			return
+		}
+	}
+	t.Fatal("no block of loopback addresses is free")
+}
+
+func address(slot, i int) string { return fmt.Sprintf("127.%d.%d.%d", block, slot, i) }
 
 func newWorld(t *testing.T, seed int64, slot, entries, agents int) *world {
 	w := &world{t: t, seed: seed, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newRegistry(seed, agents*runnerCPU/taskCPU/2)}
@@ -91,7 +111,7 @@
 		ip := address(slot, 100+i)
 		r := &platformtest.Runner{
 			ID: "i-" + ip, Service: service, Zone: "z1", Labels: []string{"a", "r1"}, CPU: runnerCPU, MemoryMB: runnerMemory,
-			Duration: w.jobs.duration, Observe: w.record.add,
+			MaxLease: longestLease, Duration: w.jobs.duration, Observe: w.record.add,
 		}
 		r.Reset()
 		w.runners = append(w.runners, r)
