intake, site: trace refusals without a route to their configuration

The logs had no line for a 404 and nothing on the age of the settings, so neither the version that decided a refusal nor why an entry had it could be told.

Failed reads of the settings say how long they took. The lookup of the route moved from platform/ to the intake.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -135,6 +135,7 @@
 	callersLedger := ledger.New(storeMonitor.FailFast(), bulk)
 	siteWatcher := &site.Watcher{
 		Store: storeMonitor, Bulk: bulk, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Now: boottime.Now,
 	}
 	var advisor leader.Advisor
 	if n.node.AdviceAddress != "" {
@@ -150,7 +151,7 @@
 		},
 	})
 	jobIntake := &intake.Server{
-		Ledger: callersLedger, Leader: &leader.Client{Leader: jobLeader}, Logger: n.logger, SiteState: siteWatcher.State,
+		Ledger: callersLedger, Leader: &leader.Client{Leader: jobLeader}, Logger: n.logger, Site: siteWatcher,
 	}
 	peers, err := net.Listen("tcp", n.peerAddress())
 	if err != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,6 +25,8 @@
 	ErrUnknownJob = errors.New("no such job")
 	// ErrInvalid means that the job is invalid. The request had no effect.
 	ErrInvalid = errors.New("invalid job")
+	// ErrNoRoute means that the current configuration has no queue for the request's path.
+	ErrNoRoute = errors.New("no such queue")
 )
 
 // RefusedError means that a request had no effect and never will.
@@ -46,6 +48,8 @@
 	StoreUnavailable Reason = "store-unavailable"
 	// TooLarge means that no runner is large enough for one of the job's tasks.
 	TooLarge Reason = "too-large"
+	// NoConfiguration means that this entry has not read a configuration yet.
+	NoConfiguration Reason = "no-configuration"
 	// LeaderUnavailable means that neither the leader nor, for the state of a job, the
 	// ledger could answer.
 	LeaderUnavailable Reason = "leader-unknown"
@@ -53,8 +57,9 @@
 
 // Intake handles the requests of callers.
 type Intake interface {
-	// Site returns the operators' current settings.
-	Site() *site.State
+	// Route returns the route that serves the path at the host, and the limits of requests. It
+	// returns ErrNoRoute or a RefusedError (NoConfiguration).
+	Route(host, path string) (site.Route, site.Limits, error)
 	// Submit accepts a job. It returns ErrInvalid, a RefusedError (StoreUnavailable, TooLarge),
 	// or another error if the job may have been accepted.
 	Submit(ctx context.Context, j *job.Job) error
@@ -100,18 +105,23 @@
 
 // Server implements Intake with the ledger and the leader. It is safe for concurrent use.
 type Server struct {
-	Ledger    *ledger.Ledger
-	Leader    Leader
-	Logger    log.Interface
-	SiteState func() *site.State
+	Ledger *ledger.Ledger
+	Leader Leader
+	Logger log.Interface
+	Site   Site
 
 	capacities capacityCache
 }
 
-var _ Intake = (*Server)(nil)
+// Site gives access to the operator settings; site.Watcher implements it.
+type Site interface {
+	// State returns the latest known settings.
+	State() *site.State
+	// Age returns an upper bound of the time since they were the operators' latest settings.
+	Age() (age time.Duration, known bool)
+}
 
-// Site implements Intake.
-func (s *Server) Site() *site.State { return s.SiteState() }
+var _ Intake = (*Server)(nil)
 
 // Submit implements Intake. It returns a RefusedError only if no attempt to store the
 // job can have taken effect.
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -49,8 +49,12 @@
 	// Table is the name of the table of operator settings; Decode decodes one of its rows.
 	Table  string
 	Decode Decode
+	// Now is a monotonic clock that includes the time in which the machine was suspended.
+	Now func() time.Duration
 
 	state atomic.Pointer[State]
+	// confirmedAt is when the last successful read of the settings began, by Now; 0 before.
+	confirmedAt atomic.Int64
 	// feedLimit is the maximum size of a feed's answer in bytes. The whole table is read if the
 	// changes exceed it.
 	feedLimit int64
@@ -64,16 +68,30 @@
 	return &State{}
 }
 
+// Age returns an upper bound of the time since State was the store's latest state. known is
+// false until the table has been read.
+func (w *Watcher) Age() (age time.Duration, known bool) {
+	confirmedAt := time.Duration(w.confirmedAt.Load())
+	if confirmedAt == 0 {
+		return 0, false
+	}
+	return w.Now() - confirmedAt, true
+}
+
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	w.registerGauges()
 	loaded := false
 	var version int64
 	retryDelay := initialRetryDelay
 	for ctx.Err() == nil {
 		w.Bulk.WaitForUrgent(ctx, maxUrgentWait)
+		began := w.Now()
 		next, err := w.poll(ctx, loaded, version)
+		countRead(err)
 		switch {
 		case err == nil:
+			w.confirmedAt.Store(int64(began))
 			loaded, version, retryDelay = true, next, initialRetryDelay
 			continue
 		case errors.Is(err, store.ErrCompacted):
@@ -85,7 +103,10 @@
 			loaded = false
 			continue
 		case ctx.Err() == nil:
-			w.Logger.WithError(err).WithField("loaded", loaded).Warn("reading operator settings failed")
+			age, _ := w.Age()
+			w.Logger.WithError(err).WithFields(log.Fields{
+				"loaded": loaded, "took_ms": (w.Now() - began).Milliseconds(), "age_ms": age.Milliseconds(),
+			}).Warn("reading operator settings failed")
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -47,8 +47,10 @@
 	return nil, c.After + 1, err
 }
 
-func newWatcher(s *disconnectingStore) *site.Watcher {
+func newWatcher(s store.Store) *site.Watcher {
+	start := time.Now()
 	return &site.Watcher{
+		Now:   func() time.Duration { return time.Since(start) + time.Second },
 		Store: s, Bulk: store.NewBulkReader(s, 0), Logger: &log.Logger{Handler: discard.Default}, Table: "op",
 		Decode: func(state *site.State, _ store.Row) (*site.State, error) { return state, nil },
 	}
@@ -113,3 +115,27 @@
 		group.Wait()
 	})
 }
+
+// Guards against settings that look current while the store cannot be read: their age grows
+// until the next successful read.
+func TestWatcher_AgeGrowsWhileReadsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errReset := errors.New("connection reset")
+		w := newWatcher(&disconnectingStore{feedErrors: []error{errReset, errReset}})
+		_, known := w.Age()
+		test.False(t, known)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.Run(ctx) }) // ends with its context
+		time.Sleep(90 * time.Millisecond)
+		age, known := w.Age()
+		test.True(t, known)
+		test.Eq(t, 90*time.Millisecond, age)
+		time.Sleep(2 * time.Second)
+		age, _ = w.Age()
+		// The wait of the last feed that was answered, and of the one in flight.
+		test.LessEq(t, 2*time.Second, age)
+		group.Wait()
+	})
+}
