platformtest: proxy with faults, from the soak

The TCP proxy with resets, silent connections, one-way blocks and delays moves from the soak's test files to the stand-ins, so that other tests can use it. No change of what it does.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -81,30 +81,30 @@
 func (cl *cluster) randomProxyFault(r *rand.Rand, p *process, d time.Duration) fault {
 	i := r.IntN(len(p.proxies))
 	px, name := p.proxies[i], fmt.Sprintf("%s proxy %d", p.name, i)
-	block := func(ds ...direction) func() {
+	block := func(ds ...platformtest.Direction) func() {
 		return func() {
-			px.block(ds...)
+			px.Block(ds...)
 			<-time.After(d)
-			px.clearFaults()
+			px.ClearFaults()
 		}
 	}
 	switch r.IntN(6) {
 	case 0:
-		return fault{description: name + " resets its open connections", run: px.reset}
+		return fault{description: name + " resets its open connections", run: px.Reset}
 	case 1:
-		return fault{description: name + " blackholes its open connections", run: px.blackhole}
+		return fault{description: name + " blackholes its open connections", run: px.Blackhole}
 	case 2:
-		return fault{description: fmt.Sprintf("%s blocks both directions for %s", name, d), run: block(toServer, toClient)}
+		return fault{description: fmt.Sprintf("%s blocks both directions for %s", name, d), run: block(platformtest.ToServer, platformtest.ToClient)}
 	case 3:
-		return fault{description: fmt.Sprintf("%s blocks the direction to the server for %s", name, d), run: block(toServer)}
+		return fault{description: fmt.Sprintf("%s blocks the direction to the server for %s", name, d), run: block(platformtest.ToServer)}
 	case 4:
-		return fault{description: fmt.Sprintf("%s blocks the direction to the client for %s", name, d), run: block(toClient)}
+		return fault{description: fmt.Sprintf("%s blocks the direction to the client for %s", name, d), run: block(platformtest.ToClient)}
 	default:
 		delay := randomDuration(r, 20*time.Millisecond, 800*time.Millisecond)
 		return fault{description: fmt.Sprintf("%s delays by %s for %s", name, delay, d), run: func() {
-			px.setDelay(delay)
+			px.SetDelay(delay)
 			<-time.After(d)
-			px.clearFaults()
+			px.ClearFaults()
 		}}
 	}
 }
@@ -122,7 +122,7 @@
 	cl.store.SetFault(platformtest.None)
 	for _, p := range cl.all() {
 		for _, px := range p.proxies {
-			px.clearFaults()
+			px.ClearFaults()
 		}
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -54,8 +54,8 @@
 	name, ip  string
 	role      string
 	settings  string
-	peerProxy *proxy // in front of the process's own peer port
-	proxies   []*proxy
+	peerProxy *platformtest.Proxy // in front of the process's own peer port
+	proxies   []*platformtest.Proxy
 
 	logs *logBuffer
 
@@ -115,18 +115,18 @@
 		}
 		r.Reset()
 		cl.runners = append(cl.runners, r)
-		runnerProxy := newProxy(t, cl.serve(net.JoinHostPort(ip, "18165"), r))
+		runnerProxy := cl.newProxy(cl.serve(net.JoinHostPort(ip, "18165"), r))
 		p := cl.newProcess("agent", ip, storeAddress)
 		p.proxies = append(p.proxies, runnerProxy)
-		p.settings += fmt.Sprintf("app = %q\n", runnerProxy.address())
-		p.settings = p.settings + cl.settingsTables(ip, p.proxies[0].address())
+		p.settings += fmt.Sprintf("app = %q\n", runnerProxy.Address())
+		p.settings = p.settings + cl.settingsTables(ip, p.proxies[0].Address())
 		cl.agents = append(cl.agents, p)
-		go cl.sendReports(r, net.JoinHostPort(ip, controlPort), runnerProxy.address())
+		go cl.sendReports(r, net.JoinHostPort(ip, controlPort), runnerProxy.Address())
 	}
 	for i := range entries {
 		ip := address(slot, 10+i)
 		p := cl.newProcess("entry", ip, storeAddress)
-		p.settings += cl.settingsTables(ip, p.proxies[0].address())
+		p.settings += cl.settingsTables(ip, p.proxies[0].Address())
 		cl.entries = append(cl.entries, p)
 	}
 	for _, p := range cl.all() {
@@ -136,6 +136,14 @@
 	return cl
 }
 
+// newProxy returns a proxy in front of target that serves until the test ends.
+func (cl *cluster) newProxy(target string) *platformtest.Proxy {
+	p, err := platformtest.NewProxy(target)
+	must.NoError(cl.t, err)
+	cl.t.Cleanup(p.Close)
+	return p
+}
+
 func (cl *cluster) all() []*process {
 	return append(append([]*process(nil), cl.entries...), cl.agents...)
 }
@@ -144,10 +152,10 @@
 // and to its peer port.
 func (cl *cluster) newProcess(role, ip, store string) *process {
 	p := &process{cluster: cl, role: role, ip: ip, name: role + "-" + ip, logs: &logBuffer{}}
-	p.peerProxy = newProxy(cl.t, net.JoinHostPort(ip, fmt.Sprint(peerPort)))
-	p.proxies = []*proxy{newProxy(cl.t, store), p.peerProxy}
+	p.peerProxy = cl.newProxy(net.JoinHostPort(ip, fmt.Sprint(peerPort)))
+	p.proxies = []*platformtest.Proxy{cl.newProxy(store), p.peerProxy}
 	p.settings = fmt.Sprintf("nodeName = %q\nip = %q\nzone = \"z1\"\nportRange = [%d,%d]\nadvertise = %q\n",
-		p.name, ip, peerPort, peerPort+15, p.peerProxy.address())
+		p.name, ip, peerPort, peerPort+15, p.peerProxy.Address())
 	return p
 }
 
