--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,6 +32,7 @@
 	testReportPort  = "18166"
 	testRunnerPort  = "18165"
 	testPeerPort    = 17720
+	storeAddress    = "127.0.7.1:18169"
 )
 
 const testConfig = `{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","service":"desk",
@@ -45,8 +47,11 @@
 	t       *testing.T
 	store   *platformtest.Store
 	runners []*platformtest.Runner
-	stop    map[string]func()
-	logs    syncBuffer
+	// storeAddresses holds the addresses at which nodes reach the store, by IP address, if it
+	// is not storeAddress.
+	storeAddresses map[string]string
+	stop           map[string]func()
+	logs           syncBuffer
 }
 
 // syncBuffer is a bytes.Buffer that is safe for concurrent use.
@@ -84,7 +89,7 @@
 		ReadyAddress:   net.JoinHostPort(ip, testReadyPort),
 		ReportAddress:  net.JoinHostPort(ip, testReportPort),
 		RunnerAddress:  net.JoinHostPort(ip, testRunnerPort),
-		StoreAddress:   "127.0.7.1:18169", AdviceAddress: "127.0.7.1:18170", MemoryBytes: 100 << 20,
+		StoreAddress:   cmp.Or(d.storeAddresses[ip], storeAddress), AdviceAddress: "127.0.7.1:18170", MemoryBytes: 100 << 20,
 		Bounds: platform.Bounds{
 			MaxLease: 6 * time.Second, GracePeriod: 4 * time.Second, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		},
@@ -107,14 +112,7 @@
 }
 
 func newDeployment(t *testing.T, taskDuration time.Duration) *deployment {
-	d := &deployment{t: t, store: platformtest.NewStore(), stop: map[string]func(){}}
-	t.Cleanup(func() {
-		if t.Failed() {
-			t.Log(d.logs.String())
-		}
-	})
-	serve(t, "127.0.7.1:18169", d.store)
-	d.store.WriteOperator("config", []byte(testConfig))
+	d := newStoreOnly(t)
 	for i := range 2 {
 		ip := fmt.Sprintf("127.0.7.%d", 20+i)
 		r := &platformtest.Runner{
@@ -129,10 +127,33 @@
 			return r.Report(t.Context(), net.JoinHostPort(ip, testReportPort), own, false)
 		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
 	}
-	d.startNode("127.0.7.10", (*PlatformNode).RunEntry)
-	d.startNode("127.0.7.11", (*PlatformNode).RunEntry)
-	for _, ip := range []string{"127.0.7.10", "127.0.7.11"} {
-		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+	d.startEntries()
+	return d
+}
+
+// newStoreOnly returns a deployment without processes, whose store has testConfig.
+func newStoreOnly(t *testing.T) *deployment {
+	d := &deployment{t: t, store: platformtest.NewStore(), storeAddresses: map[string]string{}, stop: map[string]func(){}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(d.logs.String())
+		}
+	})
+	serve(t, storeAddress, d.store)
+	d.store.WriteOperator("config", []byte(testConfig))
+	return d
+}
+
+// testEntries are the addresses of the entries.
+var testEntries = []string{"127.0.7.10", "127.0.7.11"}
+
+// startEntries starts the entries and waits until they are ready.
+func (d *deployment) startEntries() {
+	for _, ip := range testEntries {
+		d.startNode(ip, (*PlatformNode).RunEntry)
+	}
+	for _, ip := range testEntries {
+		must.Wait(d.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 			response, err := http.Get("http://" + net.JoinHostPort(ip, testReadyPort) + "/ready")
 			if err != nil {
 				return false
@@ -141,7 +162,6 @@
 			return response.StatusCode == http.StatusOK
 		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
 	}
-	return d
 }
 
 // request sends a caller's request for the queue at /x/ to the entry at ip.
