site: read the settings within the contact time of an outage

Cause: three waits in sequence, each bounded on its own. The call in flight at the end of an outage times out after 1.7 s, the pause after it is up to 0.8 s, and while a new leader reads its ledger, as after an outage, the next call waits 1 s more: 3.5 s, and an entry counts as in touch 3 s after the outage.

Change: the delay between calls counts from the start of the call that failed, and reads yield to a new leader's only for 1 s after the last successful read. After the end of an outage the settings are read within 1.7 s and a jitter of 0.1 s.

--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -20,13 +20,16 @@
 	// followWait is how long a feed waits for a change. A feed may stop answering without an
 	// error, so the wait must not be much longer than the permitted delay of a change.
 	followWait = time.Second
-	// initialRetryDelay is the delay after a failed call of the store. It doubles with each
-	// failure, up to maxRetryDelay. Half of the delay is random, since the calls of all entries
-	// fail at the same time.
+	// initialRetryDelay is the time from the start of a failed call of the store to the next one.
+	// It doubles with each failure, up to maxRetryDelay. Half of the delay is random, since the
+	// calls of all entries fail at the same time. After a call that took longer, the next one follows
+	// within maxJitter.
 	initialRetryDelay = 200 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
-	// maxUrgentWait bounds how long reads of operator settings wait while a new leader reads the
-	// ledger over the same link.
+	maxJitter         = 100 * time.Millisecond
+	// maxUrgentWait is the time since the last read up to which reads of operator settings wait
+	// while a new leader reads the ledger over the same link. Older settings do not wait, so that
+	// the wait does not add to that of a call without an answer.
 	maxUrgentWait = time.Second
 	// minFeedLimit is the size limit of a feed for an empty table, in bytes.
 	minFeedLimit = 64 << 10
@@ -84,14 +87,16 @@
 	loaded := false
 	var version int64
 	retryDelay := initialRetryDelay
+	lastRead := w.Now()
 	for ctx.Err() == nil {
-		w.Bulk.WaitForUrgent(ctx, maxUrgentWait)
+		w.Bulk.WaitForUrgent(ctx, maxUrgentWait-(w.Now()-lastRead))
 		began := w.Now()
 		next, err := w.poll(ctx, loaded, version)
 		countRead(err)
 		switch {
 		case err == nil:
 			w.confirmedAt.Store(int64(began))
+			lastRead = w.Now()
 			loaded, version, retryDelay = true, next, initialRetryDelay
 			continue
 		case errors.Is(err, store.ErrCompacted):
@@ -110,7 +115,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryDelay/2 + rand.N(retryDelay/2)):
+		case <-time.After(max(retryDelay/2+rand.N(retryDelay/2)-(w.Now()-began), rand.N(maxJitter))):
 		}
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -139,3 +139,58 @@
 		group.Wait()
 	})
 }
+
+// silentStore leaves feeds without an answer from its outage's start to its end, by the time
+// since its creation. Feeds answer at once otherwise.
+type silentStore struct {
+	store.Store
+	created            time.Time
+	outageStart, until time.Duration
+	// answeredAt is when the first feed after the outage was answered.
+	answeredAt time.Duration
+}
+
+func (s *silentStore) Read(context.Context, store.ReadRequest, int) (store.Page, error) {
+	return store.Page{Version: 1}, nil
+}
+
+func (s *silentStore) Feed(ctx context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
+	began := time.Since(s.created)
+	if began >= s.outageStart && began < s.until {
+		time.Sleep(c.Wait + feedRoundTrip)
+		return nil, 0, errors.New("response stalled")
+	}
+	if began >= s.until && s.answeredAt == 0 {
+		s.answeredAt = began
+	}
+	time.Sleep(c.Wait)
+	return nil, c.After, ctx.Err()
+}
+
+const (
+	// feedRoundTrip is the time beyond its wait after which a feed without an answer fails.
+	feedRoundTrip = 700 * time.Millisecond
+	// contactTime is the time after an outage within which an entry must read again.
+	contactTime = 3 * time.Second
+)
+
+// Guards against settings that stay old after an outage of the store because the timeout of the
+// last call, the pause after it and the yield to a new leader's reads add up.
+func TestWatcher_ReadsWithinContactTimeOfOutage(t *testing.T) {
+	for until := 2 * time.Second; until < 12*time.Second; until += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			s := &silentStore{created: time.Now(), outageStart: time.Second, until: until}
+			w := newWatcher(s)
+			ctx, cancel := context.WithTimeout(t.Context(), until+2*contactTime)
+			defer cancel()
+			var group sync.WaitGroup
+			group.Go(func() { _ = w.Run(ctx) }) // ends with its context
+			time.Sleep(until)
+			// An entry takes over the leadership as soon as the store answers.
+			defer w.Bulk.BeginUrgent()()
+			group.Wait()
+			test.Positive(t, s.answeredAt)
+			test.LessEq(t, contactTime, s.answeredAt-until, test.Sprintf("outage until %s", until))
+		})
+	}
+}
--- a/internal/store/bulk.go
+++ b/internal/store/bulk.go
@@ -75,7 +75,7 @@
 	b.mu.Lock()
 	urgent, urgentDone := b.urgentReads > 0, b.urgentDone
 	b.mu.Unlock()
-	if !urgent {
+	if !urgent || timeout <= 0 {
 		return
 	}
 	select {
