daemon: replace silent connections to the platform's services, too

Evidence: TestPlatformClient_OneFailureAfterConnectionsGoSilent failed before: the second call timed out as well.

Change: they use connpool. A call that takes over half of its timeout and times out replaces the pool's connections.

Not changed: internal/upstream, where a late answer is mostly a runner at work.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log"
 	"github.com/oklog/run"
 
+	"bamboowood/internal/connpool"
 	"bamboowood/internal/logline"
 	"bamboowood/internal/netcount"
 	"bamboowood/internal/settings"
@@ -135,13 +136,16 @@
 // platformClient returns an HTTP client for calls of a platform service. Its traffic is counted
 // under peer.
 func platformClient(peer netcount.Peer, timeout time.Duration, maxConns int) *http.Client {
-	transport := &http.Transport{
-		DialContext:           netcount.Dialer(peer, timeout),
-		MaxIdleConnsPerHost:   maxConns,
-		MaxConnsPerHost:       maxConns,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: timeout,
-		DisableCompression:    true,
-	}
-	return &http.Client{Transport: transport, Timeout: timeout}
+	// Calls that time out earlier do so by the deadline of their caller.
+	pool := connpool.New(string(peer), timeout/2, func() *http.Transport {
+		return &http.Transport{
+			DialContext:           netcount.Dialer(peer, timeout),
+			MaxIdleConnsPerHost:   maxConns,
+			MaxConnsPerHost:       maxConns,
+			IdleConnTimeout:       idleTimeout,
+			ResponseHeaderTimeout: timeout,
+			DisableCompression:    true,
+		}
+	})
+	return &http.Client{Transport: pool, Timeout: timeout}
 }
