soak: change the configuration and check which one decides

Now routes are added and removed all the time, and each entry is asked for them 50 times a second. A run fails if an entry that was undisturbed for contactMs (3 s) decides by a configuration older than one confirmed configDeadlineMs (2 s) before, or if a process goes back to an older one than it has shown 250 ms before. The schedules of faults by seed are unchanged.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -14,6 +14,9 @@
 	at          time.Duration
 	description string
 	run         func()
+	// disturbs holds the processes that the fault affects; restarts is set if it replaces them.
+	disturbs []*process
+	restarts bool
 }
 
 func (f fault) String() string { return fmt.Sprintf("%6.2f s %s", f.at.Seconds(), f.description) }
@@ -40,13 +43,16 @@
 		p = pick(r, cl.entries)
 	}
 	short, long := randomDuration(r, 100*time.Millisecond, 2*time.Second), randomDuration(r, 500*time.Millisecond, 7*time.Second)
+	this := []*process{p}
 	switch r.IntN(8) {
 	case 0:
-		return fault{description: fmt.Sprintf("kill %s for %s", p.name, short), run: func() { p.killFor(short) }}
+		return fault{
+			description: fmt.Sprintf("kill %s for %s", p.name, short), run: func() { p.killFor(short) }, disturbs: this, restarts: true,
+		}
 	case 1:
-		return fault{description: fmt.Sprintf("pause %s for %s", p.name, long), run: func() { p.pause(long) }}
+		return fault{description: fmt.Sprintf("pause %s for %s", p.name, long), run: func() { p.pause(long) }, disturbs: this}
 	case 2:
-		return fault{description: "SIGTERM " + p.name, run: func() { cl.terminateWithinGrace(p) }}
+		return fault{description: "SIGTERM " + p.name, run: func() { cl.terminateWithinGrace(p) }, disturbs: this, restarts: true}
 	case 3:
 		signal := r.IntN(2) == 0
 		return fault{description: fmt.Sprintf("change settings of %s, SIGHUP %t", p.name, signal), run: func() { p.reload(signal) }}
@@ -54,9 +60,13 @@
 		runner := pick(r, cl.runners)
 		return fault{description: "crash runner " + runner.ID, run: runner.Reset}
 	case 5:
-		return cl.randomStoreFault(r, short)
+		f := cl.randomStoreFault(r, short)
+		f.disturbs = cl.all()
+		return f
 	default:
-		return cl.randomProxyFault(r, p, long)
+		f := cl.randomProxyFault(r, p, long)
+		f.disturbs = this
+		return f
 	}
 }
 
@@ -110,12 +120,14 @@
 }
 
 // injectFaults runs the schedule and returns when all faults have ended.
-func (cl *cluster) injectFaults(schedule []fault) {
+func (cl *cluster) injectFaults(schedule []fault, settings *settingsCheck) {
 	var running sync.WaitGroup
 	for _, f := range schedule {
 		running.Go(func() {
 			<-time.After(f.at)
+			began := time.Now()
 			f.run()
+			settings.disturb(f.disturbs, began, f.restarts)
 		})
 	}
 	running.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 	// the end of the last fault until all jobs have converged.
 	faultWindow     = 10 * time.Second
 	convergeTimeout = 40 * time.Second
+	// settleTime is how long the load continues after the last fault, so that entries are in
+	// touch for a while.
+	settleTime = contactTime + time.Second
 	// submitInterval is the mean time between two submitted jobs.
 	submitInterval = 250 * time.Millisecond
 )
@@ -87,19 +91,20 @@
 	c := &callers{cluster: cl, client: &http.Client{Transport: &http.Transport{}}}
 	schedule := cl.newSchedule(*faults, faultWindow)
 	ctx, cancel := context.WithCancel(t.Context())
-	submitted := make(chan struct{})
-	go func() {
-		defer close(submitted)
-		c.run(ctx, submitInterval)
-	}()
-	cl.injectFaults(schedule)
+	settings := newSettingsCheck(cl)
+	var load sync.WaitGroup
+	load.Go(func() { c.run(ctx, submitInterval) })
+	load.Go(func() { settings.run(ctx) })
+	cl.injectFaults(schedule, settings)
+	<-time.After(settleTime)
 	cancel()
-	<-submitted
+	load.Wait()
 	faultsEnded := time.Now()
 	cl.awaitConvergence(c)
 	cl.checkInvariants()
-	t.Logf("%d jobs, %d runner events, converged %s after the last fault",
-		len(cl.jobs.all()), len(cl.history.events), time.Since(faultsEnded).Round(time.Millisecond))
+	probes, judged := settings.check()
+	t.Logf("%d jobs, %d runner events, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
+		len(cl.jobs.all()), len(cl.history.events), time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
 	for _, p := range cl.all() {
 		if line := p.logs.malformedLine(); line != "" {
 			cl.history.failf("%s wrote a log line that is not JSON: %s", p.name, line)
