intake: no final refusal by settings that are known to be old

Cause: an entry kept deciding by the last settings that it had read, however old they were, and a 404 is final for the caller. The class: a decision that does not look at the age of what it rests on.

Change: the intake is given the age after which a confirmed change must be in force (configDeadlineMs). A path without a queue in older settings is refused with 503, stale-settings, which says that nothing ran; another entry may have the queue. Known queues are served as before. The age of settings that a feed left unchanged now counts from the end of its wait, so that it stays below the bound while the store answers.

Evidence: TestPlatform_ConfigWhileStoreRefusesEntry failed before, for a follower and for the leader, 2.0 s after the confirmation; it passes, as does TestServer_RouteRefusals.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +30,26 @@
 var configWithRoute = strings.NewReplacer(`"version":1,"routes":[`,
 	`"version":2,"routes":[{"name":"added","host":"a.example","pathPrefix":"/added/","service":"desk"},`).Replace(testConfig)
 
+// awaitLeader waits until each entry reaches the leader.
+func (d *deployment) awaitLeader() {
+	for _, ip := range testEntries {
+		must.Wait(d.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			status, _ := d.request(ip, http.MethodGet, "", "")
+			return status == http.StatusOK
+		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+}
+
+// leader returns the address of the entry that has begun the last term, and of the other one.
+func (d *deployment) leader() (leader, other string) {
+	logs := d.logs.String()
+	last := func(ip string) int { return strings.LastIndex(logs, `"leader":"`+ip+`:`) }
+	if last(testEntries[0]) > last(testEntries[1]) {
+		return testEntries[0], testEntries[1]
+	}
+	return testEntries[1], testEntries[0]
+}
+
 // Guards against an entry that refuses requests for a confirmed route because all its open
 // connections to the store have gone silent, while new ones work.
 func TestPlatform_ConfigAfterConnectionsGoSilent(t *testing.T) {
@@ -39,12 +62,7 @@
 		proxies[ip], d.storeAddresses[ip] = proxy, proxy.Address()
 	}
 	d.startEntries()
-	for _, ip := range testEntries {
-		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-			status, _ := d.request(ip, http.MethodGet, "", "")
-			return status == http.StatusOK
-		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)), must.Sprint("a leader serves"))
-	}
+	d.awaitLeader()
 	for _, proxy := range proxies {
 		proxy.Blackhole()
 	}
@@ -61,3 +79,69 @@
 	}
 	test.StrContains(t, d.logs.String(), `"version":2`)
 }
+
+// gate refuses the calls of the store with status 503 while refusing is set.
+type gate struct {
+	next     http.Handler
+	refusing atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.refusing.Load() {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	g.next.ServeHTTP(w, r)
+}
+
+// newGatedDeployment returns a deployment with a gate between each entry and the store.
+func newGatedDeployment(t *testing.T) (*deployment, map[string]*gate) {
+	d := newStoreOnly(t)
+	gates := map[string]*gate{}
+	for _, ip := range testEntries {
+		gates[ip] = &gate{next: d.store}
+		d.storeAddresses[ip] = serve(t, net.JoinHostPort(ip, "0"), gates[ip])
+	}
+	d.startAgents(time.Minute)
+	d.startEntries()
+	d.awaitLeader()
+	return d, gates
+}
+
+const (
+	// refusedFor is how long the store turns one entry away after a change of the configuration.
+	refusedFor = 10 * time.Second
+	// inFlightTime is how long a call of the store may be in flight, as it waits for a change.
+	inFlightTime = 1500 * time.Millisecond
+)
+
+// Guards against an entry that answers that there is no such queue, because it has old settings
+// since the store turns it away, and knows that they are old.
+func TestPlatform_ConfigWhileStoreRefusesEntry(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("entry leads %t", leads), func(t *testing.T) {
+			d, gates := newGatedDeployment(t)
+			ip, other := d.leader()
+			if !leads {
+				ip = other
+			}
+			gates[ip].refusing.Store(true)
+			<-time.After(inFlightTime)
+			d.store.WriteOperator("config", []byte(configWithRoute))
+			confirmed := time.Now()
+			<-time.After(configDeadline)
+			for time.Since(confirmed) < refusedFor {
+				sent := time.Since(confirmed)
+				status, _ := d.requestAt(ip, http.MethodGet, "/added/", "", "")
+				must.NotEq(t, http.StatusNotFound, status, must.Sprintf("after %s", sent))
+				<-time.After(50 * time.Millisecond)
+			}
+			gates[ip].refusing.Store(false)
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+				status, _ := d.requestAt(ip, http.MethodGet, "/unknown/", "", "")
+				return status == http.StatusNotFound
+			}), wait.Timeout(contactTime), wait.Gap(50*time.Millisecond)), must.Sprint("current settings decide"))
+		})
+	}
+}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -48,6 +48,9 @@
 	// maxLease bounds the agents' lease: tasks of a lost machine are restarted only after
 	// it has expired.
 	maxLease = 6 * time.Second
+	// defaultConfigDeadline is the time after which a confirmed configuration must be in force
+	// if the platform's settings do not say it.
+	defaultConfigDeadline = 2 * time.Second
 	// settingsPollInterval is how often the settings file is checked; it may change without
 	// a signal.
 	settingsPollInterval = 2 * time.Second
@@ -152,6 +155,7 @@
 	})
 	jobIntake := &intake.Server{
 		Ledger: callersLedger, Leader: &leader.Client{Leader: jobLeader}, Logger: n.logger, Site: siteWatcher,
+		MaxSettingsAge: cmp.Or(n.node.Bounds.ConfigDeadline, defaultConfigDeadline),
 	}
 	peers, err := net.Listen("tcp", n.peerAddress())
 	if err != nil {
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -113,6 +113,13 @@
 
 func newDeployment(t *testing.T, taskDuration time.Duration) *deployment {
 	d := newStoreOnly(t)
+	d.startAgents(taskDuration)
+	d.startEntries()
+	return d
+}
+
+// startAgents starts two agents with their runners, whose tasks take taskDuration.
+func (d *deployment) startAgents(taskDuration time.Duration) {
 	for i := range 2 {
 		ip := fmt.Sprintf("127.0.7.%d", 20+i)
 		r := &platformtest.Runner{
@@ -121,14 +128,12 @@
 		}
 		r.Reset()
 		d.runners = append(d.runners, r)
-		own := serve(t, net.JoinHostPort(ip, testRunnerPort), r)
+		own := serve(d.t, net.JoinHostPort(ip, testRunnerPort), r)
 		d.startNode(ip, (*PlatformNode).RunAgent)
-		must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(func() error {
-			return r.Report(t.Context(), net.JoinHostPort(ip, testReportPort), own, false)
+		must.Wait(d.t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+			return r.Report(d.t.Context(), net.JoinHostPort(ip, testReportPort), own, false)
 		}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
 	}
-	d.startEntries()
-	return d
 }
 
 // newStoreOnly returns a deployment without processes, whose store has testConfig.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,6 +50,9 @@
 	TooLarge Reason = "too-large"
 	// NoConfiguration means that this entry has not read a configuration yet.
 	NoConfiguration Reason = "no-configuration"
+	// StaleSettings means that the known configuration has no queue for the path, but a newer
+	// one, which this entry could not read, may have it.
+	StaleSettings Reason = "stale-settings"
 	// LeaderUnavailable means that neither the leader nor, for the state of a job, the
 	// ledger could answer.
 	LeaderUnavailable Reason = "leader-unknown"
@@ -58,7 +61,7 @@
 // Intake handles the requests of callers.
 type Intake interface {
 	// Route returns the route that serves the path at the host, and the limits of requests. It
-	// returns ErrNoRoute or a RefusedError (NoConfiguration).
+	// returns ErrNoRoute or a RefusedError (NoConfiguration, StaleSettings).
 	Route(host, path string) (site.Route, site.Limits, error)
 	// Submit accepts a job. It returns ErrInvalid, a RefusedError (StoreUnavailable, TooLarge),
 	// or another error if the job may have been accepted.
@@ -109,6 +112,9 @@
 	Leader Leader
 	Logger log.Interface
 	Site   Site
+	// MaxSettingsAge is the time after which a confirmed change of the settings must be in
+	// force. Settings that are older say nothing about queues that they do not have.
+	MaxSettingsAge time.Duration
 
 	capacities capacityCache
 }
--- a/internal/intake/route.go
+++ b/internal/intake/route.go
@@ -27,15 +27,21 @@
 		return site.Route{}, site.Limits{}, &RefusedError{Reason: NoConfiguration, RetryAfter: noConfigurationRetryAfter}
 	}
 	route, found := config.Route(host, path)
-	if !found {
-		countRequest("no-route")
-		if noRouteLogs.Allow() {
-			age, _ := s.Site.Age()
-			s.Logger.WithFields(log.Fields{
-				"host": host, "path": path[:min(len(path), maxLoggedPath)], "version": config.Version, "age_ms": age.Milliseconds(),
-			}).Info("request refused; no such queue")
-		}
-		return site.Route{}, site.Limits{}, ErrNoRoute
+	if found {
+		return route, config.Limits, nil
 	}
-	return route, config.Limits, nil
+	age, _ := s.Site.Age()
+	stale := age > s.MaxSettingsAge
+	if noRouteLogs.Allow() {
+		s.Logger.WithFields(log.Fields{
+			"host": host, "path": path[:min(len(path), maxLoggedPath)], "version": config.Version,
+			"age_ms": age.Milliseconds(), "stale": stale,
+		}).Info("request refused; no such queue")
+	}
+	if stale {
+		countRequest(StaleSettings)
+		return site.Route{}, site.Limits{}, &RefusedError{Reason: StaleSettings, RetryAfter: outageRetryAfter}
+	}
+	countRequest("no-route")
+	return site.Route{}, site.Limits{}, ErrNoRoute
 }
--- a/internal/intake/route_test.go
+++ b/internal/intake/route_test.go
@@ -22,13 +22,13 @@
 func (f *fakeSite) State() *site.State         { return f.state }
 func (f *fakeSite) Age() (time.Duration, bool) { return f.age, true }
 
-// Guards against refusals that cannot be traced: one without a route names the version of the
-// configuration that decided it, and the age of the settings.
-func TestServer_RouteRefusalNamesVersion(t *testing.T) {
+// Guards against final refusals by old settings, and against refusals that cannot be traced: one
+// without a route names the version of the configuration that decided it, and its age.
+func TestServer_RouteRefusals(t *testing.T) {
 	lines := memory.New()
 	config := &site.Config{Version: 7, Routes: []site.Route{{Host: "a.example", Prefix: "/x/", Queue: job.Queue{Name: "r-1"}}}}
 	settings := &fakeSite{state: &site.State{}, age: 1500 * time.Millisecond}
-	s := &Server{Site: settings, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}}
+	s := &Server{Site: settings, MaxSettingsAge: 2 * time.Second, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}}
 
 	_, _, err := s.Route("a.example", "/x/1")
 	var refused *RefusedError
@@ -44,5 +44,14 @@
 	_, _, err = s.Route("a.example", "/y/1")
 	test.ErrorIs(t, err, ErrNoRoute)
 	must.Len(t, 1, lines.Entries)
-	test.Eq(t, log.Fields{"host": "a.example", "path": "/y/1", "version": int64(7), "age_ms": int64(1500)}, lines.Entries[0].Fields)
+	test.Eq(t, log.Fields{
+		"host": "a.example", "path": "/y/1", "version": int64(7), "age_ms": int64(1500), "stale": false,
+	}, lines.Entries[0].Fields)
+
+	settings.age = 2*time.Second + 1
+	_, _, err = s.Route("a.example", "/y/1")
+	must.True(t, errors.As(err, &refused))
+	test.Eq(t, StaleSettings, refused.Reason)
+	_, _, err = s.Route("a.example", "/x/1")
+	test.NoError(t, err, test.Sprint("queues that are known are served with old settings, too"))
 }
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -56,7 +56,8 @@
 	Now func() time.Duration
 
 	state atomic.Pointer[State]
-	// confirmedAt is when the last successful read of the settings began, by Now; 0 before.
+	// confirmedAt is a time, by Now, at which State was the store's latest state; 0 before the
+	// first read.
 	confirmedAt atomic.Int64
 	// feedLimit is the maximum size of a feed's answer in bytes. The whole table is read if the
 	// changes exceed it.
@@ -91,11 +92,11 @@
 	for ctx.Err() == nil {
 		w.Bulk.WaitForUrgent(ctx, maxUrgentWait-(w.Now()-lastRead))
 		began := w.Now()
-		next, err := w.poll(ctx, loaded, version)
+		next, unchangedFor, err := w.poll(ctx, loaded, version)
 		countRead(err)
 		switch {
 		case err == nil:
-			w.confirmedAt.Store(int64(began))
+			w.confirmedAt.Store(int64(began + unchangedFor))
 			lastRead = w.Now()
 			loaded, version, retryDelay = true, next, initialRetryDelay
 			continue
@@ -123,24 +124,30 @@
 }
 
 // poll applies the changes since a version, or the whole table if loaded is false, and returns
-// the version to continue from. While the whole table is read again, the current configuration
-// stays, so that Decode can compare versions.
-func (w *Watcher) poll(ctx context.Context, loaded bool, version int64) (int64, error) {
+// the version to continue from. unchangedFor is the time from the call for which the settings
+// certainly stayed what they are now. While the whole table is read again, the current
+// configuration stays, so that Decode can compare versions.
+func (w *Watcher) poll(ctx context.Context, loaded bool, version int64) (next int64, unchangedFor time.Duration, err error) {
 	if !loaded {
 		rows, version, err := w.Bulk.ReadAll(ctx, store.ReadRequest{Table: w.Table})
 		if err == nil {
 			w.apply(&State{Config: w.State().Config}, rows)
 			w.updateFeedLimit(rows)
 		}
-		return version, err
+		return version, 0, err
 	}
 	rows, version, err := w.Store.Feed(ctx, store.FeedRequest{
 		Table: w.Table, After: version, Wait: followWait, MaxBytes: w.feedLimit,
 	})
-	if err == nil {
-		w.apply(w.State(), rows)
+	if err != nil {
+		return 0, 0, err
 	}
-	return version, err
+	if len(rows) == 0 {
+		// The store answers without rows only after it has waited for a change.
+		return version, followWait, nil
+	}
+	w.apply(w.State(), rows)
+	return version, 0, nil
 }
 
 // updateFeedLimit derives the feed limit from the size of the table. The limit keeps a feed from
