site: take the settings from the leader while the store turns an entry away

Cause: the store was the only source of the settings, while writes of callers have had a way through the leader. The class: one path for what must be current.

Rows are sent only if they have changed after the version that it has. Settings of an earlier version of the store never replace later ones, whichever way they come.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -116,8 +116,8 @@
 	inFlightTime = 1500 * time.Millisecond
 )
 
-// Guards against an entry that answers that there is no such queue, because it has old settings
-// since the store turns it away, and knows that they are old.
+// Guards against an entry that has old settings while the store turns it away, so that it answers
+// that there is no such queue, or does not serve it although another entry could tell it.
 func TestPlatform_ConfigWhileStoreRefusesEntry(t *testing.T) {
 	for _, leads := range []bool{false, true} {
 		t.Run(fmt.Sprintf("entry leads %t", leads), func(t *testing.T) {
@@ -131,12 +131,17 @@
 			d.store.WriteOperator("config", []byte(configWithRoute))
 			confirmed := time.Now()
 			<-time.After(configDeadline)
-			for time.Since(confirmed) < refusedFor {
+			served, tries := 0, 0
+			for ; time.Since(confirmed) < refusedFor; tries++ {
 				sent := time.Since(confirmed)
 				status, _ := d.requestAt(ip, http.MethodGet, "/added/", "", "")
 				must.NotEq(t, http.StatusNotFound, status, must.Sprintf("after %s", sent))
+				if status == http.StatusOK {
+					served++
+				}
 				<-time.After(50 * time.Millisecond)
 			}
+			test.Eq(t, tries, served, test.Sprint("the other entry leads, and has the configuration"))
 			gates[ip].refusing.Store(false)
 			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 				status, _ := d.requestAt(ip, http.MethodGet, "/unknown/", "", "")
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -147,14 +147,15 @@
 	jobLeader := leader.New(leader.Options{
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
-		Site: siteWatcher.State, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
+		Site: siteWatcher.State, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.EarlyStart, EndedRetention: n.node.Bounds.StatusRetention,
 			RemoteFactor: n.node.Bounds.RemoteFactor,
 		},
 	})
+	leaderClient := &leader.Client{Leader: jobLeader}
 	jobIntake := &intake.Server{
-		Ledger: callersLedger, Leader: &leader.Client{Leader: jobLeader}, Logger: n.logger, Site: siteWatcher,
+		Ledger: callersLedger, Leader: leaderClient, Logger: n.logger, Site: siteWatcher,
 		MaxSettingsAge: cmp.Or(n.node.Bounds.ConfigDeadline, defaultConfigDeadline),
 	}
 	peers, err := net.Listen("tcp", n.peerAddress())
@@ -165,6 +166,9 @@
 	var g run.Group
 	delayedCtx := n.delayShutdown(ctx)
 	addActor(&g, n.restartOnPanic("operators' rows", siteWatcher.Run), nil)
+	addActor(&g, n.restartOnPanic("operators' rows of the leader", func(ctx context.Context) error {
+		return siteWatcher.FollowPeer(ctx, leaderClient)
+	}), nil)
 	addActor(&g, func(ctx context.Context) error { return jobLeader.ServeQueries(ctx, peers) }, nil)
 	if err := n.addHTTP(&g, n.node.CallersAddress, n.closeWhenStopping(platform.CallersHandler(jobIntake))); err != nil {
 		return err
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -55,6 +55,8 @@
 	Address, Process string
 	// Site returns the operators' current settings.
 	Site func() *site.State
+	// Snapshot returns them for another entry that has those of version after.
+	Snapshot func(after int64) (snapshot site.Snapshot, known bool)
 	// Now is a monotonic clock that includes the time in which the machine was
 	// suspended.
 	Now func() time.Duration
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -299,6 +299,8 @@
 	}
 	answer := &wirepb.QueryAnswer{}
 	switch {
+	case q.Settings:
+		answer.Settings = l.settingsAnswer(q.SettingsAfter)
 	case q.Accepted != nil:
 		j, err := ledger.DecodeJob(q.Job, q.Accepted)
 		if err != nil {
--- a/internal/site/metrics.go
+++ b/internal/site/metrics.go
@@ -41,3 +41,8 @@
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_site_reads_total{result=%q}", result)).Inc()
 }
+
+// countPeerRead counts a request of the settings to a peer by its result.
+func countPeerRead(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_site_peer_reads_total{result=%q}", result)).Inc()
+}
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,10 +56,22 @@
 	// Now is a monotonic clock that includes the time in which the machine was suspended.
 	Now func() time.Duration
 
+	// state and confirmedAt are written with mu held.
 	state atomic.Pointer[State]
 	// confirmedAt is a time, by Now, at which State was the store's latest state; 0 before the
 	// first read.
 	confirmedAt atomic.Int64
+	// failing is set while the store does not answer reads of the settings.
+	failing atomic.Bool
+
+	mu sync.Mutex
+	// loaded is whether the whole table has been read, and need not be read again.
+	loaded bool
+	// version is the version of the store that the rows are of, changedAt that of the last change
+	// among them, at most.
+	version, changedAt int64
+	// rows holds the rows that state was decoded from, by key; nil before the first read.
+	rows map[string]store.Row
 	// feedLimit is the maximum size of a feed's answer in bytes. The whole table is read if the
 	// changes exceed it.
 	feedLimit int64
@@ -85,33 +98,31 @@
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.registerGauges()
-	loaded := false
-	var version int64
 	retryDelay := initialRetryDelay
 	lastRead := w.Now()
 	for ctx.Err() == nil {
 		w.Bulk.WaitForUrgent(ctx, maxUrgentWait-(w.Now()-lastRead))
 		began := w.Now()
-		next, unchangedFor, err := w.poll(ctx, loaded, version)
+		err := w.poll(ctx)
 		countRead(err)
 		switch {
 		case err == nil:
-			w.confirmedAt.Store(int64(began + unchangedFor))
-			lastRead = w.Now()
-			loaded, version, retryDelay = true, next, initialRetryDelay
+			lastRead, retryDelay = w.Now(), initialRetryDelay
+			w.failing.Store(false)
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			w.Logger.Warn("history of operator settings compacted; reading the whole table")
-			loaded = false
+			w.unload()
 			continue
 		case errors.Is(err, store.ErrTooLarge):
 			w.Logger.Info("changes of operator settings exceed the feed limit; reading the whole table")
-			loaded = false
+			w.unload()
 			continue
 		case ctx.Err() == nil:
-			age, _ := w.Age()
+			w.failing.Store(true)
+			age, known := w.Age()
 			w.Logger.WithError(err).WithFields(log.Fields{
-				"loaded": loaded, "took_ms": (w.Now() - began).Milliseconds(), "age_ms": age.Milliseconds(),
+				"loaded": known, "took_ms": (w.Now() - began).Milliseconds(), "age_ms": age.Milliseconds(),
 			}).Warn("reading operator settings failed")
 		}
 		select {
@@ -123,31 +134,82 @@
 	return ctx.Err()
 }
 
-// poll applies the changes since a version, or the whole table if loaded is false, and returns
-// the version to continue from. unchangedFor is the time from the call for which the settings
-// certainly stayed what they are now. While the whole table is read again, the current
-// configuration stays, so that Decode can compare versions.
-func (w *Watcher) poll(ctx context.Context, loaded bool, version int64) (next int64, unchangedFor time.Duration, err error) {
+// unload makes the next poll read the whole table.
+func (w *Watcher) unload() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loaded = false
+}
+
+// poll reads the changes since the last poll, or the whole table, and applies them.
+func (w *Watcher) poll(ctx context.Context) error {
+	w.mu.Lock()
+	loaded, request := w.loaded, store.FeedRequest{Table: w.Table, After: w.version, Wait: followWait, MaxBytes: w.feedLimit}
+	w.mu.Unlock()
+	began := w.Now()
 	if !loaded {
 		rows, version, err := w.Bulk.ReadAll(ctx, store.ReadRequest{Table: w.Table})
-		if err == nil {
-			w.apply(&State{Config: w.State().Config}, rows)
-			w.updateFeedLimit(rows)
+		if err != nil {
+			return err
 		}
-		return version, 0, err
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if version >= w.version {
+			w.replace(rows, version)
+			w.confirm(began)
+		}
+		return nil
 	}
-	rows, version, err := w.Store.Feed(ctx, store.FeedRequest{
-		Table: w.Table, After: version, Wait: followWait, MaxBytes: w.feedLimit,
-	})
+	rows, version, err := w.Store.Feed(ctx, request)
 	if err != nil {
-		return 0, 0, err
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version < w.version {
+		return nil // a peer's settings were newer
 	}
+	w.update(rows, version)
 	if len(rows) == 0 {
 		// The store answers without rows only after it has waited for a change.
-		return version, followWait, nil
+		began += followWait
+	}
+	w.confirm(began)
+	return nil
+}
+
+// confirm records that the settings were the store's latest at a time. It is called with the lock
+// held.
+func (w *Watcher) confirm(at time.Duration) {
+	w.confirmedAt.Store(max(w.confirmedAt.Load(), int64(at)))
+}
+
+// replace applies the whole table at a version. The current configuration stays, so that Decode
+// can compare versions. It is called with the lock held.
+func (w *Watcher) replace(rows []store.Row, version int64) {
+	w.rows = map[string]store.Row{}
+	for _, row := range rows {
+		w.rows[row.Key] = row
+	}
+	w.loaded, w.version, w.changedAt = true, version, version
+	w.updateFeedLimit(rows)
+	w.apply(&State{Config: w.State().Config}, rows)
+}
+
+// update applies the changes up to a version. It is called with the lock held.
+func (w *Watcher) update(rows []store.Row, version int64) {
+	for _, row := range rows {
+		if row.Deleted {
+			delete(w.rows, row.Key)
+		} else {
+			w.rows[row.Key] = row
+		}
+		w.changedAt = max(w.changedAt, row.Version)
+	}
+	w.version = version
+	if len(rows) > 0 {
+		w.apply(w.State(), rows)
 	}
-	w.apply(w.State(), rows)
-	return version, 0, nil
 }
 
 // updateFeedLimit derives the feed limit from the size of the table. The limit keeps a feed from
@@ -160,6 +222,8 @@
 	w.feedLimit = minFeedLimit + int64(feedLimitFactor*float64(bytes)*base64Factor)
 }
 
+// apply decodes rows into a copy of state, which becomes the current one. It is called with the
+// lock held.
 func (w *Watcher) apply(state *State, rows []store.Row) {
 	for _, row := range rows {
 		next := state
