site: settings with a row that cannot be decoded are not current

Cause: a row that does not decode is skipped, the feed goes on, and the age of the settings counted as current. The class is that of stale refusals: a decision by what is known to be incomplete.

Change: the age counts from the last time at which state had all rows, so that paths without a queue are refused with 503 until the row is replaced, and the metric of the age grows. Settings whose age is unknown count as old.

Evidence: TestWatcher_UndecodedRowAges failed before (age 1.5 s, 4 s expected at least); it passes.

--- a/internal/intake/route.go
+++ b/internal/intake/route.go
@@ -30,8 +30,8 @@
 	if found {
 		return route, config.Limits, nil
 	}
-	age, _ := s.Site.Age()
-	stale := age > s.MaxSettingsAge
+	age, known := s.Site.Age()
+	stale := !known || age > s.MaxSettingsAge
 	if noRouteLogs.Allow() {
 		s.Logger.WithFields(log.Fields{
 			"host": host, "path": path[:min(len(path), maxLoggedPath)], "version": config.Version,
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -72,6 +72,8 @@
 	version, changedAt int64
 	// rows holds the rows that state was decoded from, by key; nil before the first read.
 	rows map[string]store.Row
+	// undecoded holds the keys of the rows that state lacks because they could not be decoded.
+	undecoded map[string]bool
 	// feedLimit is the maximum size of a feed's answer in bytes. The whole table is read if the
 	// changes exceed it.
 	feedLimit int64
@@ -178,16 +180,19 @@
 	return nil
 }
 
-// confirm records that the settings were the store's latest at a time. It is called with the lock
-// held.
+// confirm records that the rows were the store's latest at a time. State is not of that age if it
+// lacks one of them. It is called with the lock held.
 func (w *Watcher) confirm(at time.Duration) {
+	if len(w.undecoded) > 0 {
+		return
+	}
 	w.confirmedAt.Store(max(w.confirmedAt.Load(), int64(at)))
 }
 
 // replace applies the whole table at a version. The current configuration stays, so that Decode
 // can compare versions. It is called with the lock held.
 func (w *Watcher) replace(rows []store.Row, version int64) {
-	w.rows = map[string]store.Row{}
+	w.rows, w.undecoded = map[string]store.Row{}, map[string]bool{}
 	for _, row := range rows {
 		w.rows[row.Key] = row
 	}
@@ -233,8 +238,10 @@
 		})
 		if err != nil {
 			w.Logger.WithError(err).Error("row of operator settings skipped")
+			w.undecoded[row.Key] = true
 			continue
 		}
+		delete(w.undecoded, row.Key)
 		state = next
 	}
 	old := w.State()
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -194,3 +194,49 @@
 		})
 	}
 }
+
+// rowStore has one row in each version after the first.
+type rowStore struct {
+	store.Store
+	rows []store.Row
+}
+
+func (s *rowStore) Read(context.Context, store.ReadRequest, int) (store.Page, error) {
+	return store.Page{Version: 1}, nil
+}
+
+func (s *rowStore) Feed(_ context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
+	time.Sleep(c.Wait)
+	if len(s.rows) == 0 {
+		return nil, c.After, nil
+	}
+	row := s.rows[0]
+	s.rows, row.Version = s.rows[1:], c.After+1
+	return []store.Row{row}, row.Version, nil
+}
+
+// Guards against settings that look current although a row of theirs could not be decoded: they
+// age until that row is replaced or removed.
+func TestWatcher_UndecodedRowAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &rowStore{rows: []store.Row{{Key: "config"}, {Key: "bad"}, {Key: "config"}, {Key: "config"}, {Key: "bad", Deleted: true}}}
+		w := newWatcher(s)
+		w.Decode = func(state *site.State, row store.Row) (*site.State, error) {
+			if row.Key == "bad" && !row.Deleted {
+				return state, errors.New("unexpected type")
+			}
+			return state, nil
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.Run(ctx) }) // ends with its context
+		time.Sleep(4500 * time.Millisecond)
+		age, _ := w.Age()
+		test.GreaterEq(t, 4*time.Second, age, test.Sprint("since the first configuration was read"))
+		time.Sleep(3 * time.Second)
+		age, _ = w.Age()
+		test.LessEq(t, 2*time.Second, age)
+		group.Wait()
+	})
+}
