supervisor: acknowledge nothing between a failed renewal and the next answer

Trace: runner 103 ends a run at 58:03.829 (end 11), crashes at 03.838 and restarts under its id; the renewal in flight breaks off at 03.841. The leader stores end 11, and the renewal that this wakes acknowledges it to the next incarnation, since the last answer is less than 50 ms old. That call waits there, and takes the incarnation's own end 1, of a run started at 03.885, as acknowledged: the run is not listed at 04.149, and is started again.

Cause: the freshness of the last answer stood for the identity of the runner, even after a call had broken off since.

Change: after a failed renewal an answer is needed before the next acknowledgement.

Evidence: TestSupervisor_NoAcknowledgementAfterFailedRenewal failed before. Measured: it passes, with the tests of internal/supervisor 3 times under the race detector.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -151,6 +151,8 @@
 
 func (s *Supervisor) renewFailed(err error) time.Duration {
 	now := s.opts.Now()
+	// The next incarnation may be running: nothing is acknowledged before an answer of this one.
+	s.answeredAt = 0
 	var refused interface{ Reason() runner.Refusal }
 	if errors.As(err, &refused) && refused.Reason() == runner.RefusedFence {
 		s.raiseToken()
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -110,3 +110,30 @@
 		test.Eq(t, ended[0].Sequence, h.fake.acknowledged())
 	})
 }
+
+// A call breaks off because the runner restarts under its id, just after an end was received. An
+// acknowledgement of that end must not reach the next incarnation, which would delete an end of its
+// own: the task would run again although it is done.
+func TestSupervisor_NoAcknowledgementAfterFailedRenewal(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.grantLease()
+		run := h.startRun(1)
+		time.Sleep(10 * time.Millisecond)
+		h.fake.end(run, job.EndDone)
+		ended := h.collectUpdates(100 * time.Millisecond).Ends
+		must.Len(t, 1, ended)
+		h.fake.mu.Lock()
+		h.fake.renewErr = errNoAnswer
+		h.fake.mu.Unlock()
+		time.Sleep(unstoredEndsInterval + time.Millisecond)
+		h.EndsStored("i-1", 0, ended[0].Sequence)
+		time.Sleep(time.Millisecond)
+		h.fake.mu.Lock()
+		test.Len(t, 0, h.fake.acknowledgements)
+		h.fake.renewErr = nil
+		h.fake.mu.Unlock()
+		time.Sleep(2 * renewWait)
+		test.Eq(t, ended[0].Sequence, h.fake.acknowledged())
+	})
+}
