soak: the store turns entries away

Two faults a run more, by random numbers of their own, so that the other faults of a seed stay the same: the store refuses all calls of one entry for 1 to 8 s. Such an entry may serve what it knows, but must not answer that there is no such route when a configuration with it was confirmed 2 s before. The gate between a client and the store is a stand-in that internal/daemon's test uses, too.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,27 +79,12 @@
 	test.StrContains(t, d.logs.String(), `"version":2`)
 }
 
-// gate refuses the calls of the store with status 503 while refusing is set.
-type gate struct {
-	next     http.Handler
-	refusing atomic.Bool
-}
-
-// ServeHTTP implements http.Handler.
-func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.refusing.Load() {
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
-	g.next.ServeHTTP(w, r)
-}
-
 // newGatedDeployment returns a deployment with a gate between each entry and the store.
-func newGatedDeployment(t *testing.T) (*deployment, map[string]*gate) {
+func newGatedDeployment(t *testing.T) (*deployment, map[string]*platformtest.Gate) {
 	d := newStoreOnly(t)
-	gates := map[string]*gate{}
+	gates := map[string]*platformtest.Gate{}
 	for _, ip := range testEntries {
-		gates[ip] = &gate{next: d.store}
+		gates[ip] = platformtest.NewGate(d.store)
 		d.storeAddresses[ip] = serve(t, net.JoinHostPort(ip, "0"), gates[ip])
 	}
 	d.startAgents(time.Minute)
@@ -126,7 +110,7 @@
 			if !leads {
 				ip = other
 			}
-			gates[ip].refusing.Store(true)
+			gates[ip].Close()
 			<-time.After(inFlightTime)
 			d.store.WriteOperator("config", []byte(configWithRoute))
 			confirmed := time.Now()
@@ -142,7 +126,7 @@
 				<-time.After(50 * time.Millisecond)
 			}
 			test.Eq(t, tries, served, test.Sprint("the other entry leads, and has the configuration"))
-			gates[ip].refusing.Store(false)
+			gates[ip].Open()
 			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 				status, _ := d.requestAt(ip, http.MethodGet, "/unknown/", "", "")
 				return status == http.StatusNotFound
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -14,9 +14,9 @@
 	at          time.Duration
 	description string
 	run         func()
-	// disturbs holds the processes that the fault affects; restarts is set if it replaces them.
+	// disturbs holds the processes that the fault affects, in the given way.
 	disturbs []*process
-	restarts bool
+	how      disturbanceKind
 }
 
 func (f fault) String() string { return fmt.Sprintf("%6.2f s %s", f.at.Seconds(), f.description) }
@@ -30,6 +30,28 @@
 		f.at = randomDuration(r, 0, window)
 		schedule = append(schedule, f)
 	}
+	return append(schedule, cl.turnedAway(window)...)
+}
+
+// turnedAwayFaults is the number of times in a run that the store turns an entry away.
+const turnedAwayFaults = 2
+
+// turnedAway returns faults in which the store refuses the calls of one entry. They have random
+// numbers of their own.
+func (cl *cluster) turnedAway(window time.Duration) (schedule []fault) {
+	r := rand.New(rand.NewPCG(uint64(cl.seed), 8))
+	for range turnedAwayFaults {
+		p, d := pick(r, cl.entries), randomDuration(r, time.Second, 8*time.Second)
+		schedule = append(schedule, fault{
+			at: randomDuration(r, 0, window), description: fmt.Sprintf("store turns %s away for %s", p.name, d),
+			run: func() {
+				p.storeGate.Close()
+				<-time.After(d)
+				p.storeGate.Open()
+			},
+			disturbs: []*process{p}, how: refused,
+		})
+	}
 	return schedule
 }
 
@@ -47,12 +69,12 @@
 	switch r.IntN(8) {
 	case 0:
 		return fault{
-			description: fmt.Sprintf("kill %s for %s", p.name, short), run: func() { p.killFor(short) }, disturbs: this, restarts: true,
+			description: fmt.Sprintf("kill %s for %s", p.name, short), run: func() { p.killFor(short) }, disturbs: this, how: replaced,
 		}
 	case 1:
 		return fault{description: fmt.Sprintf("pause %s for %s", p.name, long), run: func() { p.pause(long) }, disturbs: this}
 	case 2:
-		return fault{description: "SIGTERM " + p.name, run: func() { cl.terminateWithinGrace(p) }, disturbs: this, restarts: true}
+		return fault{description: "SIGTERM " + p.name, run: func() { cl.terminateWithinGrace(p) }, disturbs: this, how: replaced}
 	case 3:
 		signal := r.IntN(2) == 0
 		return fault{description: fmt.Sprintf("change settings of %s, SIGHUP %t", p.name, signal), run: func() { p.reload(signal) }}
@@ -127,7 +149,7 @@
 			<-time.After(f.at)
 			began := time.Now()
 			f.run()
-			settings.disturb(f.disturbs, began, f.restarts)
+			settings.disturb(f.disturbs, began, f.how)
 		})
 	}
 	running.Wait()
--- a/test/soak/settings_test.go
+++ b/test/soak/settings_test.go
@@ -38,11 +38,23 @@
 	sentAt, confirmedAt time.Time
 }
 
-// disturbance is a time in which a fault affected an entry. restarts reports whether the entry's
-// process was replaced.
+// disturbanceKind is how a fault affects an entry.
+type disturbanceKind int
+
+const (
+	// disrupted: its process, its connections or the store are disrupted.
+	disrupted disturbanceKind = iota
+	// replaced: its process is replaced.
+	replaced
+	// refused: only the store refuses its calls. It may keep serving routes that it knows, but
+	// must not answer that there is no such route.
+	refused
+)
+
+// disturbance is a time in which a fault affected an entry.
 type disturbance struct {
 	from, to time.Time
-	restarts bool
+	how      disturbanceKind
 }
 
 // probe is a request that shows whether an entry has a route.
@@ -74,11 +86,11 @@
 }
 
 // disturb records a disturbance of entries from the given time to now.
-func (c *settingsCheck) disturb(entries []*process, from time.Time, restarts bool) {
+func (c *settingsCheck) disturb(entries []*process, from time.Time, how disturbanceKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range entries {
-		c.disturbances[p] = append(c.disturbances[p], disturbance{from, time.Now(), restarts})
+		c.disturbances[p] = append(c.disturbances[p], disturbance{from, time.Now(), how})
 	}
 }
 
@@ -175,11 +187,11 @@
 }
 
 // inTouch reports whether no fault disturbed the entry from contactTime before the probe until
-// its answer.
+// its answer. An entry that the store refuses counts as in touch for what it does not serve.
 func (c *settingsCheck) inTouch(pr probe) bool {
 	from := pr.sentAt.Add(-contactTime)
 	return !slices.ContainsFunc(c.disturbances[pr.entry], func(d disturbance) bool {
-		return d.to.After(from) && d.from.Before(pr.answered)
+		return d.to.After(from) && d.from.Before(pr.answered) && (pr.served || d.how != refused)
 	})
 }
 
@@ -245,7 +257,7 @@
 	var shown []shownVersion
 	var restarts []disturbance
 	for _, d := range c.disturbances[p] {
-		if d.restarts {
+		if d.how == replaced {
 			restarts = append(restarts, d)
 		}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -60,6 +60,10 @@
 	// 113 fails only with -faults 22: an acknowledgement for a runner's previous incarnation
 	// made the next incarnation discard the end of a run.
 	113,
+	// An entry answered 404 for a confirmed route, and served a dropped one: its connections to
+	// the store had gone silent, and it tried one after another.
+	201, 214,
+	216, // an acknowledgement reached a runner's next incarnation, as in 113, after a failed renewal
 }
 
 func TestSoak(t *testing.T) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -55,6 +55,7 @@
 	role      string
 	settings  string
 	peerProxy *platformtest.Proxy // in front of the process's own peer port
+	storeGate *platformtest.Gate  // between an entry and the store
 	proxies   []*platformtest.Proxy
 
 	logs *logBuffer
@@ -125,7 +126,9 @@
 	}
 	for i := range entries {
 		ip := address(slot, 10+i)
-		p := cl.newProcess("entry", ip, storeAddress)
+		gate := platformtest.NewGate(cl.store)
+		p := cl.newProcess("entry", ip, cl.serve(net.JoinHostPort(ip, "18169"), gate))
+		p.storeGate = gate
 		p.settings += cl.settingsTables(ip, p.proxies[0].Address())
 		cl.entries = append(cl.entries, p)
 	}
