--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -72,7 +72,7 @@
 			description: fmt.Sprintf("kill %s for %s", p.name, short), run: func() { p.killFor(short) }, disturbs: this, how: replaced,
 		}
 	case 1:
-		return fault{description: fmt.Sprintf("pause %s for %s", p.name, long), run: func() { p.pause(long) }, disturbs: this}
+		return fault{description: fmt.Sprintf("pause %s for %s", p.name, long), run: func() { p.pause(long) }, disturbs: this, how: disrupted}
 	case 2:
 		return fault{description: "SIGTERM " + p.name, run: func() { cl.terminateWithinGrace(p) }, disturbs: this, how: replaced}
 	case 3:
@@ -83,11 +83,11 @@
 		return fault{description: "crash runner " + runner.ID, run: runner.Reset}
 	case 5:
 		f := cl.randomStoreFault(r, short)
-		f.disturbs = cl.all()
+		f.disturbs, f.how = cl.all(), disrupted
 		return f
 	default:
 		f := cl.randomProxyFault(r, p, long)
-		f.disturbs = this
+		f.disturbs, f.how = this, disrupted
 		return f
 	}
 }
