intake: read the age of the settings before the settings

If newer settings arrived in between, a path without a queue in the old ones was refused for good by the age of the new ones.

Evidence: TestServer_RouteRefusalWhileSettingsArrive failed before; it passes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -123,7 +123,8 @@
 type Site interface {
 	// State returns the latest known settings.
 	State() *site.State
-	// Age returns an upper bound of the time since they were the operators' latest settings.
+	// Age returns an upper bound of the time since the settings that State returns afterwards
+	// were the operators' latest.
 	Age() (age time.Duration, known bool)
 }
 
--- a/internal/intake/route.go
+++ b/internal/intake/route.go
@@ -21,6 +21,7 @@
 
 // Route implements Intake.
 func (s *Server) Route(host, path string) (site.Route, site.Limits, error) {
+	age, known := s.Site.Age()
 	config := s.Site.State().Config
 	if config == nil {
 		countRequest(NoConfiguration)
@@ -30,7 +31,6 @@
 	if found {
 		return route, config.Limits, nil
 	}
-	age, known := s.Site.Age()
 	stale := !known || age > s.MaxSettingsAge
 	if noRouteLogs.Allow() {
 		s.Logger.WithFields(log.Fields{
--- a/internal/intake/route_test.go
+++ b/internal/intake/route_test.go
@@ -55,3 +55,22 @@
 	_, _, err = s.Route("a.example", "/x/1")
 	test.NoError(t, err, test.Sprint("queues that are known are served with old settings, too"))
 }
+
+// renewingSite gets new settings right after its state was read.
+type renewingSite struct{ fakeSite }
+
+func (r *renewingSite) State() *site.State {
+	defer func() { r.age = 0 }()
+	return r.state
+}
+
+// Guards against a final refusal by old settings that takes its age from newer ones, which arrive
+// while the request is decided.
+func TestServer_RouteRefusalWhileSettingsArrive(t *testing.T) {
+	settings := &renewingSite{fakeSite{state: &site.State{Config: &site.Config{Version: 7}}, age: time.Minute}}
+	s := &Server{Site: settings, MaxSettingsAge: 2 * time.Second, Logger: &log.Logger{Handler: memory.New()}}
+	_, _, err := s.Route("a.example", "/y/1")
+	var refused *RefusedError
+	must.True(t, errors.As(err, &refused))
+	test.Eq(t, StaleSettings, refused.Reason)
+}
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -87,8 +87,8 @@
 	return &State{}
 }
 
-// Age returns an upper bound of the time since State was the store's latest state. known is
-// false until the table has been read.
+// Age returns an upper bound of the time since State was the store's latest state, if it is called
+// before State. known is false until the whole table has been read and decoded.
 func (w *Watcher) Age() (age time.Duration, known bool) {
 	confirmedAt := time.Duration(w.confirmedAt.Load())
 	if confirmedAt == 0 {
