--- a/internal/site/peer.go
+++ b/internal/site/peer.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,10 +11,9 @@
 	"bamboowood/internal/store"
 )
 
-const (
-	// peerInterval is the time between requests to a peer. The permitted delay of a change is 2 s.
-	peerInterval = 500 * time.Millisecond
-)
+// peerInterval is the time between requests to a peer. With the time until a call of the store
+// fails, it must stay below the permitted delay of a change.
+const peerInterval = 500 * time.Millisecond
 
 // Snapshot is the operator settings at a version of the store.
 type Snapshot struct {
@@ -32,20 +32,20 @@
 }
 
 // Snapshot returns the settings for a peer that has those of version after. known is false until
-// the table has been read.
+// the whole table has been read and decoded.
 func (w *Watcher) Snapshot(after int64) (snapshot Snapshot, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.rows == nil {
+	age, known := w.Age()
+	if !known {
 		return Snapshot{}, false
 	}
-	age, _ := w.Age()
 	snapshot = Snapshot{Version: w.version, Age: age, Changed: w.changedAt > after}
 	if snapshot.Changed {
 		for _, row := range w.rows {
 			snapshot.Rows = append(snapshot.Rows, row)
 		}
-		slices.SortFunc(snapshot.Rows, func(a, b store.Row) int { return int(a.Version - b.Version) })
+		slices.SortFunc(snapshot.Rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
 	}
 	return snapshot, true
 }
@@ -83,14 +83,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case s.Version < w.version || s.Changed && s.Version == w.version:
+	case s.Version < w.version, w.rows == nil && !s.Changed:
 		return "older"
 	case s.Changed:
 		w.Logger.WithFields(log.Fields{"store_version": s.Version, "age_ms": s.Age.Milliseconds()}).Info("operator settings received from the leader")
 		w.replace(s.Rows, s.Version)
 		result = "changed"
-	case w.rows == nil:
-		return "older"
 	default:
 		w.loaded, w.version = true, s.Version
 		result = "unchanged"
--- a/internal/site/peer_test.go
+++ b/internal/site/peer_test.go
@@ -212,3 +212,19 @@
 		test.Eq(t, "norte,sur", drained(w))
 	})
 }
+
+// Guards against a peer that takes settings for current whose age is unknown, since one of their
+// rows could not be decoded.
+func TestWatcher_NoSnapshotOfUnknownAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &zoneStore{}
+		s.set("norte", true)
+		w := newZoneWatcher(s)
+		w.Decode = func(state *site.State, _ store.Row) (*site.State, error) { return state, errors.New("unexpected type") }
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = w.Run(ctx) // ends with its context
+		_, known := w.Snapshot(0)
+		test.False(t, known)
+	})
+}
