ledger: give the watchers of the tests a clock

The one caller outside of tests passes boottime.Now, as the tests do now; no check changes.

Measured: internal/ledger passes 3 times under the race detector.

--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 	"golang.org/x/sync/errgroup"
 
+	"bamboowood/internal/boottime"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/planner"
@@ -143,7 +144,7 @@
 func watchUntilConfigured(ctx context.Context, client store.Store, bulk *store.BulkReader) error {
 	w := &site.Watcher{
 		Store: client, Bulk: bulk, Logger: &log.Logger{Handler: discard.Default},
-		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow, Now: boottime.Now,
 	}
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -208,7 +209,7 @@
 	standin.WriteOperator("config", config(t, 700, 1))
 	w := &site.Watcher{
 		Store: client, Bulk: store.NewBulkReader(client, rate), Logger: &log.Logger{Handler: discard.Default},
-		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow, Now: boottime.Now,
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -306,7 +307,7 @@
 	var group errgroup.Group
 	w := &site.Watcher{
 		Store: client, Bulk: bulk, Logger: &log.Logger{Handler: discard.Default},
-		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
+		Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow, Now: boottime.Now,
 	}
 	group.Go(func() error { return w.Run(ctx) })
 	t.Cleanup(func() {
