--- a/test/soak/settings_test.go
+++ b/test/soak/settings_test.go
@@ -218,11 +218,11 @@
 }
 
 // check records a failure for each entry in touch that decided by a version older than one
-// confirmed configDeadline before, and for each process that went back to an older version.
+// confirmed configDeadline before, and for each process that went back to an older version. No
+// name of a route is used twice, so an answer tells between which versions it was decided.
 func (c *settingsCheck) check() (probes, judged int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// All routes are absent before the first version, and no name is used twice.
 	for _, pr := range c.probes {
 		if !c.inTouch(pr) {
 			continue
