supervisor: log the evidence for a changed runner and for each dropped run

The lines now have the addresses of both runners, the sender of the report, the cause of each dropped run and what is left of its lease; ignored reports are logged once an incarnation. Metrics: runs dropped by cause, reports by result, failed renewals by cause.

No decision changes.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -311,7 +311,9 @@
 }
 
 // RunnerReported implements platform.Reports.
-func (r *runnerReports) RunnerReported(reported job.Runner) { r.supervisor.RunnerReported(reported) }
+func (r *runnerReports) RunnerReported(reported job.Runner, sender string) {
+	r.supervisor.RunnerReported(reported, sender)
+}
 
 // RunnerLeft implements platform.Reports.
 func (r *runnerReports) RunnerLeft(id string, startTime int64) {
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -155,9 +155,11 @@
 	s.answeredAt = 0
 	var refused interface{ Reason() runner.Refusal }
 	if errors.As(err, &refused) && refused.Reason() == runner.RefusedFence {
+		countFailedRenewal("fence")
 		s.raiseToken()
 		return reconcileInterval
 	}
+	countFailedRenewal(renewalFailure(err))
 	if s.failures == 0 {
 		s.opts.Logger.WithError(err).WithField("runner", s.runner.ID).Warn("lease renewal failed")
 	}
@@ -176,15 +178,29 @@
 	return failurePause
 }
 
+// renewalFailure returns the cause of a failed renewal as a label value.
+func renewalFailure(err error) string {
+	switch {
+	case errors.Is(err, runner.ErrNoListener):
+		return "no-listener"
+	case errors.Is(err, runner.ErrOtherIncarnation):
+		return "other-incarnation"
+	case errors.Is(err, runner.ErrUnhealthy):
+		return "unhealthy"
+	}
+	return "no-answer"
+}
+
 // dropRunner removes the record of a runner whose process has exited, and drops its runs.
 func (s *Supervisor) dropRunner(why string) {
 	s.opts.Logger.WithFields(log.Fields{
-		"runner": s.runner.ID, "why": why, "runs_lost": len(s.runs),
+		"runner": s.runner.ID, "born": s.runner.StartTime, "why": why, "runs_lost": len(s.runs),
+		"refused_ms": (s.opts.Now() - s.noListenerSince).Milliseconds(), "lease_left_ms": s.leaseLeft().Milliseconds(),
 	}).Warn("runner process exited")
 	s.endedIncarnations[incarnation{s.runner.ID, s.runner.StartTime}] = true
 	s.token++
 	s.runner = nil
-	s.dropAllRuns()
+	s.dropAllRuns(causeNoListener)
 	s.ends = nil
 	s.noListenerSince, s.runnerLeaseUntil = 0, 0
 	s.restarted = false
@@ -195,7 +211,7 @@
 // expireRuns drops the runs of an unresponsive runner after its lease has expired. The lease
 // in a start request that is still in transit has expired as well.
 func (s *Supervisor) expireRuns() {
-	s.dropAllRuns()
+	s.dropAllRuns(causeLeaseExpired)
 	s.runnerLeaseUntil = 0
 }
 
@@ -281,10 +297,10 @@
 func (s *Supervisor) runNotListed(sentAt time.Duration, run job.Run, r *taskRun) {
 	switch {
 	case r.reconciling && sentAt > r.reconcilingSince:
-		s.dropRun(run, r.notListedReason)
+		s.dropRun(run, r.notListedReason, causeNotListed)
 	case r.phase == running && !r.reconciling:
 		if r.reportsNotListed++; r.reportsNotListed >= maxReportsNotListed {
-			s.dropRun(run, runner.RefusedIncarnationEnded)
+			s.dropRun(run, runner.RefusedIncarnationEnded, causeNotListed)
 		}
 	}
 }
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -38,7 +38,7 @@
 // list are dropped. No update reports the restart before the first list has arrived.
 func TestSupervisor_StartReachesNextIncarnation(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5})
+		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}, "")
 		time.Sleep(50 * time.Millisecond)
 		h.grantLease()
 		h.startRun(1)
@@ -50,7 +50,7 @@
 		second := h.startRun(2)
 		time.Sleep(time.Millisecond)
 		h.TakeUpdate()
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1})
+		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}, "")
 		time.Sleep(100 * time.Millisecond)
 		_, any := h.TakeUpdate()
 		must.False(t, any, must.Sprint("the new incarnation has not listed its runs"))
--- /dev/null
+++ b/internal/supervisor/metrics.go
@@ -0,0 +1,44 @@
+package supervisor
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bamboowood/internal/runner"
+)
+
+// Causes for which runs are dropped, as label values and in logs.
+const (
+	// causeRefused: the start was refused, or the runner confirmed that the run is not there.
+	causeRefused = "refused"
+	// causeNoLease: the order expired, or there was no lease for it.
+	causeNoLease = "expired-order"
+	// causeReplaced: the runner was replaced by another incarnation.
+	causeReplaced = "runner-replaced"
+	// causeNoListener: nothing listens at the runner's address.
+	causeNoListener = "no-listener"
+	// causeLeaseExpired: the lease of an unresponsive runner has expired.
+	causeLeaseExpired = "lease-expired"
+	// causeNotListed: the runner's lists do not name the run.
+	causeNotListed = "not-listed"
+)
+
+func countDroppedRun(cause string, reason runner.Refusal) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_dropped_total{cause=%q,reason=%q}", cause, string(reason))).Inc()
+}
+
+// Results of status reports, as label values.
+const (
+	reportCurrent  = "current"
+	reportOutdated = "outdated"
+	reportAdopted  = "adopted"
+)
+
+func countReport(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runner_reports_total{result=%q}", result)).Inc()
+}
+
+func countFailedRenewal(cause string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_lease_renewals_failed_total{cause=%q}", cause)).Inc()
+}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -33,7 +33,7 @@
 	r := &taskRun{details: o.Details, speedLimit: fullSpeed, confirmedSpeedLimit: fullSpeed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
 	if s.runner == nil || s.runner.Draining {
-		s.dropRun(run, runner.RefusedUnhealthy)
+		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 		return
 	}
 	s.calls.Go(func() { s.start(ctx, o, r) })
@@ -57,7 +57,7 @@
 					"task": o.Details.Run.Task.String(), "run": o.Details.Run.Number, "leased": lease != 0,
 					"late_ms": (now - o.ValidUntil).Milliseconds(),
 				}).Warn("start order refused: expired or no lease")
-				s.dropRun(o.Details.Run, runner.RefusedLate)
+				s.dropRun(o.Details.Run, runner.RefusedLate, causeNoLease)
 			}
 			s.mu.Unlock()
 			break
@@ -95,9 +95,9 @@
 	}
 	switch {
 	case errors.Is(err, runner.ErrOtherIncarnation):
-		s.dropRun(run, runner.RefusedIncarnationEnded)
+		s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
 	case errors.Is(err, runner.ErrUnhealthy) && !sent:
-		s.dropRun(run, runner.RefusedUnhealthy)
+		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 	case err != nil:
 		s.opts.Logger.WithError(err).WithFields(log.Fields{
 			"task": run.Task.String(), "run": run.Number, "runner": fence.RunnerID,
@@ -121,7 +121,7 @@
 	case sent && refusal != runner.RefusedCapacity:
 		return false
 	default:
-		s.dropRun(run, refusal)
+		s.dropRun(run, refusal, causeRefused)
 	}
 	return true
 }
@@ -179,7 +179,7 @@
 		switch {
 		case done:
 		case errors.Is(err, runner.ErrOtherIncarnation):
-			s.dropRun(run, runner.RefusedIncarnationEnded)
+			s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
 			done = true
 		case err == nil && refusal == runner.RefusedFence:
 			s.raiseToken()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -104,8 +104,10 @@
 	runner *job.Runner
 	// endedIncarnations holds the earlier incarnations of the runner.
 	endedIncarnations map[incarnation]bool
-	token             int64
-	runs              map[job.Run]*taskRun
+	// ignoredReport is the incarnation of the last report that was ignored.
+	ignoredReport incarnation
+	token         int64
+	runs          map[job.Run]*taskRun
 	// ends are the ends that the ledger has not stored yet. receivedEnd is the sequence
 	// number of the last end received, storedEnd that of the last end stored.
 	ends        []job.End
@@ -265,18 +267,22 @@
 }
 
 // RunnerReported applies a status report of the runner. It ignores reports of earlier
-// incarnations and reports that arrive out of order.
-func (s *Supervisor) RunnerReported(r job.Runner) {
+// incarnations and reports that arrive out of order. sender is the address from which the report
+// came, for the log.
+func (s *Supervisor) RunnerReported(r job.Runner, sender string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cur := s.runner
 	switch {
 	case s.endedIncarnations[incarnation{r.ID, r.StartTime}]:
+		s.reportIgnored(&r, sender, "incarnation has ended")
 		return
 	case cur != nil && cur.SameIncarnation(&r):
 		if r.Sequence <= cur.Sequence {
+			countReport(reportOutdated)
 			return
 		}
+		countReport(reportCurrent)
 		changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
 		s.runner = &r
 		if changed {
@@ -284,9 +290,24 @@
 		}
 		return
 	case cur != nil && r.StartTime != 0 && r.StartTime < cur.StartTime:
+		s.reportIgnored(&r, sender, "incarnation is older than the current one")
 		return
 	}
-	s.setIncarnation(&r)
+	countReport(reportAdopted)
+	s.setIncarnation(&r, sender)
+}
+
+func (s *Supervisor) reportIgnored(r *job.Runner, sender, why string) {
+	countReport(reportOutdated)
+	if s.ignoredReport == (incarnation{r.ID, r.StartTime}) {
+		return
+	}
+	s.ignoredReport = incarnation{r.ID, r.StartTime}
+	fields := log.Fields{"reported": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender, "why": why}
+	if s.runner != nil {
+		fields["runner"], fields["runner_born"] = s.runner.ID, s.runner.StartTime
+	}
+	s.opts.Logger.WithFields(fields).Warn("runner reports ignored")
 }
 
 // RunnerLeft marks an incarnation of the runner as draining with no time remaining. A
@@ -304,16 +325,18 @@
 }
 
 // setIncarnation makes a new incarnation, or another runner, the current one.
-func (s *Supervisor) setIncarnation(r *job.Runner) {
+func (s *Supervisor) setIncarnation(r *job.Runner, sender string) {
 	restarted := s.runner != nil && s.runner.ID == r.ID
 	if s.runner != nil {
 		s.endedIncarnations[incarnation{s.runner.ID, s.runner.StartTime}] = true
 		s.token++
 		s.opts.Logger.WithFields(log.Fields{
-			"runner": s.runner.ID, "new_runner": r.ID, "born": r.StartTime, "runs": len(s.runs),
+			"runner": s.runner.ID, "runner_born": s.runner.StartTime, "runner_address": s.runner.Address,
+			"new_runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender,
+			"runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
 		}).Warn("runner restarted or replaced")
 	} else {
-		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.StartTime}).Info("runner discovered")
+		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender}).Info("runner discovered")
 	}
 	if s.cancelRenewal != nil {
 		s.cancelRenewal()
@@ -326,7 +349,7 @@
 	if restarted {
 		s.reconcileAfterRestart()
 	} else {
-		s.dropAllRuns()
+		s.dropAllRuns(causeReplaced)
 	}
 	s.runnerChanged()
 	s.signal(s.renewNow)
@@ -336,9 +359,9 @@
 // the leader may not have a record of some of their orders yet. RefusedLate is the reason
 // for started runs too: the leader starts their tasks again and, as for an order that came
 // too late, does not count it against the runner's health.
-func (s *Supervisor) dropAllRuns() {
+func (s *Supervisor) dropAllRuns(cause string) {
 	for run := range s.runs {
-		s.dropRun(run, runner.RefusedLate)
+		s.dropRun(run, runner.RefusedLate, cause)
 	}
 }
 
@@ -356,6 +379,10 @@
 	}
 }
 
+// leaseLeft returns how much of the lease that was given to the runner may be left; at most 0 if it has
+// expired.
+func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
+
 func (s *Supervisor) runnerChanged() {
 	s.update.RunnerChanged, s.update.Runner = true, s.runner
 	s.signal(s.notify)
@@ -383,14 +410,16 @@
 
 // dropRun removes a run that is not alive on the runner and cannot start later, and reports
 // it as refused.
-func (s *Supervisor) dropRun(run job.Run, reason runner.Refusal) {
+func (s *Supervisor) dropRun(run job.Run, reason runner.Refusal, cause string) {
 	if s.runs[run] == nil {
 		return
 	}
 	delete(s.runs, run)
 	s.update.Refusals = append(s.update.Refusals, RefusedStart{Run: run, Reason: reason})
+	countDroppedRun(cause, reason)
 	s.opts.Logger.WithFields(log.Fields{
-		"task": run.Task.String(), "run": run.Number, "reason": string(reason),
+		"task": run.Task.String(), "run": run.Number, "reason": string(reason), "cause": cause,
+		"lease_left_ms": s.leaseLeft().Milliseconds(),
 	}).Info("run dropped")
 	s.signal(s.notify)
 }
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -156,7 +156,7 @@
 }
 
 func (h *harness) reportRunner(id string, sequence int64) {
-	h.RunnerReported(job.Runner{ID: id, Service: "desk", Sequence: sequence})
+	h.RunnerReported(job.Runner{ID: id, Service: "desk", Sequence: sequence}, "")
 	time.Sleep(50 * time.Millisecond)
 }
 
@@ -361,7 +361,7 @@
 	runTest(t, nil, func(h *harness) {
 		h.reportRunner("i-1", 1)
 		h.grantLease()
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true})
+		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true}, "")
 		h.startRun(1)
 		u := h.collectUpdates(time.Second)
 		test.Len(t, 1, u.Refusals)
@@ -378,7 +378,7 @@
 	for _, reports := range [][]job.Runner{{earlier, current}, {current, earlier}, {earlier, current, earlier}} {
 		runTest(t, nil, func(h *harness) {
 			for _, r := range reports {
-				h.RunnerReported(r)
+				h.RunnerReported(r, "")
 				time.Sleep(50 * time.Millisecond)
 			}
 			snapshot, ok := h.Snapshot()
