--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -21,7 +21,11 @@
 
 // fakeRunner is a runner whose answers the test sets.
 type fakeRunner struct {
-	mu              sync.Mutex
+	mu sync.Mutex
+	// id and startTime name the incarnation that answers. Calls for another id are refused; an
+	// empty id answers all calls.
+	id              string
+	startTime       int64
 	active          []job.Activity
 	ends            []job.End
 	acknowledgedEnd int64
@@ -40,9 +44,17 @@
 
 func (f *fakeRunner) clock() time.Duration { return time.Since(f.startedAt) }
 
+// misdirected reports whether a call is meant for another runner. The caller holds mu.
+func (f *fakeRunner) misdirected(fence runner.Fence) bool {
+	return f.id != "" && f.id != fence.RunnerID
+}
+
 func (f *fakeRunner) Start(_ context.Context, fence runner.Fence, o runner.StartRequest) (runner.Refusal, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.misdirected(fence) {
+		return runner.RefusedIncarnationEnded, 0, runner.ErrOtherIncarnation
+	}
 	f.starts = append(f.starts, o.Run)
 	f.tokens = append(f.tokens, fence.Token)
 	if f.onStart != nil {
@@ -53,9 +65,12 @@
 	return "", f.clock(), nil
 }
 
-func (f *fakeRunner) Stop(_ context.Context, _ runner.Fence, run job.Run) (runner.Refusal, error) {
+func (f *fakeRunner) Stop(_ context.Context, fence runner.Fence, run job.Run) (runner.Refusal, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.misdirected(fence) {
+		return runner.RefusedIncarnationEnded, runner.ErrOtherIncarnation
+	}
 	f.stops = append(f.stops, run)
 	f.endLocked(run, job.EndStopped)
 	return "", nil
@@ -83,7 +98,7 @@
 	}
 }
 
-func (f *fakeRunner) RenewLease(ctx context.Context, _ runner.Fence, o runner.RenewRequest) (runner.Report, error) {
+func (f *fakeRunner) RenewLease(ctx context.Context, fence runner.Fence, o runner.RenewRequest) (runner.Report, error) {
 	if o.AcknowledgedEnd != 0 {
 		f.mu.Lock()
 		f.acknowledgements = append(f.acknowledgements, o.AcknowledgedEnd)
@@ -96,6 +111,10 @@
 			defer f.mu.Unlock()
 			return runner.Report{}, f.renewErr
 		}
+		if f.misdirected(fence) {
+			defer f.mu.Unlock()
+			return runner.Report{}, runner.ErrOtherIncarnation
+		}
 		f.lease = max(f.lease, o.LeaseEnd)
 		for len(f.ends) > 0 && f.ends[0].Sequence <= o.AcknowledgedEnd {
 			f.acknowledgedEnd = f.ends[0].Sequence
@@ -104,7 +123,7 @@
 		if len(f.ends) > 0 || !time.Now().Before(deadline) {
 			defer f.mu.Unlock()
 			return runner.Report{
-				Clock: f.clock(), Active: append([]job.Activity(nil), f.active...), Ends: append([]job.End(nil), f.ends...),
+				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...), Ends: append([]job.End(nil), f.ends...),
 			}, nil
 		}
 		f.mu.Unlock()
