supervisor: adopt a runner only after it has answered at the agent's runner address

Cause: an agent took every report for one of its own runner. A runner whose agent does not acknowledge a report within a second, as while the agent of an added VM is starting, sends it to the next node; the receiver then gave up the runs of its own runner, ignored that runner's reports from then on and never renewed its lease again.

A report of the current incarnation is still applied at once. Any other is a claim: the agent asks its own runner's address for that incarnation, without a lease or an acknowledgement, and adopts it if it answers and names the same start time. Start times of different processes are no longer compared where the answer has one, so a clock that was set back does not hide a new incarnation.

TestSupervisor_NewIncarnation now has a runner that answers only for its id, TestSupervisor_DelayedReportAfterRestart runs with and without start times in the answers, and TestSupervisor_StartReachesNextIncarnation answers the confirmation before it goes silent; their checks are unchanged.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -311,8 +311,8 @@
 }
 
 // RunnerReported implements platform.Reports.
-func (r *runnerReports) RunnerReported(reported job.Runner, sender string) {
-	r.supervisor.RunnerReported(reported, sender)
+func (r *runnerReports) RunnerReported(ctx context.Context, reported job.Runner, sender string) error {
+	return r.supervisor.RunnerReported(ctx, reported, sender)
 }
 
 // RunnerLeft implements platform.Reports.
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -197,7 +197,7 @@
 		"runner": s.runner.ID, "born": s.runner.StartTime, "why": why, "runs_lost": len(s.runs),
 		"refused_ms": (s.opts.Now() - s.noListenerSince).Milliseconds(), "lease_left_ms": s.leaseLeft().Milliseconds(),
 	}).Warn("runner process exited")
-	s.endedIncarnations[incarnation{s.runner.ID, s.runner.StartTime}] = true
+	s.endedIncarnations[incarnationOf(s.runner)] = true
 	s.token++
 	s.runner = nil
 	s.dropAllRuns(causeNoListener)
--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -33,7 +33,7 @@
 // runOn starts a run on runner i-1, which answers at the agent's runner address.
 func (h *harness) runOn(id string) job.Run {
 	h.fake.setRunner(id, 100)
-	h.RunnerReported(job.Runner{ID: id, Service: "desk", Address: "10.2.0.88:8035", StartTime: 100, Sequence: 1}, "")
+	_ = h.report(job.Runner{ID: id, Service: "desk", Address: "10.2.0.88:8035", StartTime: 100, Sequence: 1})
 	time.Sleep(50 * time.Millisecond)
 	h.grantLease()
 	run := h.startRun(1)
@@ -47,7 +47,8 @@
 func TestSupervisor_ReportOfAnotherVMsRunner(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
 		run := h.runOn("i-1")
-		h.RunnerReported(job.Runner{ID: "i-2", Service: "desk", Address: "10.2.0.182:8035", StartTime: 200, Sequence: 7}, "10.2.0.182:4711")
+		err := h.report(job.Runner{ID: "i-2", Service: "desk", Address: "10.2.0.182:8035", StartTime: 200, Sequence: 7})
+		test.ErrorIs(t, err, runner.ErrOtherIncarnation, test.Sprint("the report is not acknowledged"))
 		u := h.collectUpdates(time.Second)
 		test.Len(t, 0, u.Refusals)
 		snapshot, ok := h.Snapshot()
@@ -67,11 +68,11 @@
 func TestSupervisor_FirstReportOfAnotherVMsRunner(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
 		h.fake.setRunner("i-1", 100)
-		h.RunnerReported(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 7}, "")
+		_ = h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 7})
 		h.collectUpdates(100 * time.Millisecond)
 		_, ok := h.Snapshot()
 		test.False(t, ok, test.Sprint("the own runner has not listed its runs"))
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 9}, "")
+		_ = h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 9})
 		h.collectUpdates(100 * time.Millisecond)
 		snapshot, ok := h.Snapshot()
 		must.True(t, ok)
@@ -108,7 +109,7 @@
 		h.fake.mu.Lock()
 		h.fake.active = nil
 		h.fake.mu.Unlock()
-		h.RunnerReported(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}, "")
+		_ = h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1})
 		u := h.collectUpdates(testLease - time.Second)
 		test.Len(t, 0, u.Refusals)
 		snapshot, ok := h.Snapshot()
--- /dev/null
+++ b/internal/supervisor/incarnation.go
@@ -0,0 +1,201 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/runner"
+)
+
+type incarnation struct {
+	id        string
+	startTime int64
+}
+
+func incarnationOf(r *job.Runner) incarnation { return incarnation{r.ID, r.StartTime} }
+
+// Limits of the confirmation of a report. Its sender waits one second for the answer.
+const (
+	confirmTimeout     = 800 * time.Millisecond
+	confirmCallTimeout = 300 * time.Millisecond
+	confirmRetryPause  = 50 * time.Millisecond
+)
+
+// errReplaced is the error of a confirmation during which another incarnation was adopted.
+var errReplaced = errors.New("another incarnation was adopted meanwhile")
+
+// RunnerReported applies a status report. sender is the address from which it came, for the log.
+//
+// A report of an incarnation other than the current one proves nothing by itself: a runner sends its
+// reports to other agents while its own does not acknowledge them, and a delayed report may outlive
+// its sender. Such an incarnation is adopted once it has answered at the address of this agent's
+// runner. The error wraps runner.ErrOtherIncarnation if another one answers there.
+func (s *Supervisor) RunnerReported(ctx context.Context, r job.Runner, sender string) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		if s.applyReportOfCurrent(&r) {
+			return nil
+		}
+		err := s.confirmAndAdopt(ctx, &r, sender)
+		if err == nil || errors.Is(err, runner.ErrOtherIncarnation) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			countReport(reportUnconfirmed)
+			return fmt.Errorf("runner %s not confirmed: %w", r.ID, err)
+		case <-time.After(confirmRetryPause):
+		}
+	}
+}
+
+// applyReportOfCurrent applies a report of the current incarnation, unless a later one has been
+// applied. It returns false if the report is of another incarnation.
+func (s *Supervisor) applyReportOfCurrent(r *job.Runner) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.runner
+	if cur == nil || !cur.SameIncarnation(r) {
+		return false
+	}
+	if r.Sequence <= cur.Sequence {
+		countReport(reportOutdated)
+		return true
+	}
+	countReport(reportCurrent)
+	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
+	s.runner = r
+	if changed {
+		s.runnerChanged()
+	}
+	return true
+}
+
+// confirmAndAdopt asks the runner's address for the incarnation that r names and adopts it if that
+// one answers. The call neither extends a lease nor acknowledges ends.
+func (s *Supervisor) confirmAndAdopt(ctx context.Context, r *job.Runner, sender string) error {
+	s.mu.Lock()
+	fence, adoptions := runner.Fence{RunnerID: r.ID, Token: s.token}, s.adoptions
+	s.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, confirmCallTimeout)
+	defer cancel()
+	answer, err := s.opts.Runner.RenewLease(callCtx, fence, runner.RenewRequest{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refused interface{ Reason() runner.Refusal }
+	switch {
+	case s.adoptions != adoptions:
+		return errReplaced
+	case errors.Is(err, runner.ErrOtherIncarnation):
+		s.reportIgnored(r, sender, "another incarnation answers at the runner's address")
+		return err
+	case errors.As(err, &refused) && refused.Reason() == runner.RefusedFence && s.token == fence.Token:
+		s.raiseToken()
+		return err
+	case err != nil:
+		return err
+	}
+	if why := s.outdated(r, answer.StartTime); why != "" {
+		s.reportIgnored(r, sender, why)
+		return fmt.Errorf("%w: %s", runner.ErrOtherIncarnation, why)
+	}
+	countReport(reportAdopted)
+	s.setIncarnation(r, sender)
+	return nil
+}
+
+// outdated returns why r is not the incarnation with startTime that has answered for its id, or an
+// empty string if it is. Incarnations are ordered only where the answer has no start time.
+func (s *Supervisor) outdated(r *job.Runner, startTime int64) string {
+	switch {
+	case startTime != 0 && r.StartTime != 0:
+		if startTime != r.StartTime {
+			return "another incarnation answers for its id"
+		}
+	case s.endedIncarnations[incarnationOf(r)]:
+		return "incarnation has ended"
+	case s.runner != nil && r.StartTime != 0 && r.StartTime < s.runner.StartTime:
+		return "incarnation is older than the current one"
+	}
+	return ""
+}
+
+// reportIgnored logs an ignored report, once for consecutive ones of the same incarnation.
+func (s *Supervisor) reportIgnored(r *job.Runner, sender, why string) {
+	countReport(reportOther)
+	if s.ignoredReport == incarnationOf(r) {
+		return
+	}
+	s.ignoredReport = incarnationOf(r)
+	fields := log.Fields{"reported": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender, "why": why}
+	if s.runner != nil {
+		fields["runner"], fields["runner_born"] = s.runner.ID, s.runner.StartTime
+	}
+	s.opts.Logger.WithFields(fields).Warn("runner report ignored")
+}
+
+// RunnerLeft marks an incarnation of the runner as draining with no time remaining. A
+// startTime of 0 matches every incarnation of the id.
+func (s *Supervisor) RunnerLeft(id string, startTime int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runner == nil || s.runner.ID != id || startTime != 0 && startTime != s.runner.StartTime {
+		return
+	}
+	left := *s.runner
+	left.Draining, left.Remaining = true, 0
+	s.runner = &left
+	s.runnerChanged()
+}
+
+// setIncarnation makes a new incarnation, or another runner, the current one.
+func (s *Supervisor) setIncarnation(r *job.Runner, sender string) {
+	restarted := s.runner != nil && s.runner.ID == r.ID
+	if s.runner != nil {
+		s.endedIncarnations[incarnationOf(s.runner)] = true
+		s.token++
+		s.opts.Logger.WithFields(log.Fields{
+			"runner": s.runner.ID, "runner_born": s.runner.StartTime, "runner_address": s.runner.Address,
+			"new_runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender,
+			"runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
+		}).Warn("runner restarted or replaced")
+	} else {
+		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender}).Info("runner discovered")
+	}
+	if s.cancelRenewal != nil {
+		s.cancelRenewal()
+	}
+	s.adoptions++
+	s.runner = r
+	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
+	s.acknowledgedEnd, s.answeredAt = 0, 0
+	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
+	s.update.Active, s.update.Ends = nil, nil
+	if restarted {
+		s.reconcileAfterRestart()
+	} else {
+		s.dropAllRuns(causeReplaced)
+	}
+	s.runnerChanged()
+	s.signal(s.renewNow)
+}
+
+// reconcileAfterRestart keeps the runs of the previous incarnation when the runner restarts
+// under the same id. A start that was sent before the restart was detected may have reached
+// the new incarnation. Its first list shows which runs are alive; the leader receives the
+// restart together with that list.
+func (s *Supervisor) reconcileAfterRestart() {
+	now := s.opts.Now()
+	s.restarted, s.runsListed = true, false
+	s.runsKnownAt = now + restartGraceFactor*s.opts.MaxLease
+	s.runnerLeaseUntil = s.runsKnownAt
+	for _, r := range s.runs {
+		r.reconciling, r.reconcilingSince, r.notListedReason = r.phase != starting, now, runner.RefusedIncarnationEnded
+	}
+}
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -19,6 +19,7 @@
 		h.startRun(1)
 		h.collectUpdates(100 * time.Millisecond)
 		h.fake.mu.Lock()
+		h.fake.id = "i-2"
 		h.fake.active, h.fake.ends, h.fake.acknowledgedEnd = nil, nil, 0
 		h.fake.mu.Unlock()
 		h.TakeUpdate()
@@ -38,7 +39,7 @@
 // list are dropped. No update reports the restart before the first list has arrived.
 func TestSupervisor_StartReachesNextIncarnation(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}, "")
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}))
 		time.Sleep(50 * time.Millisecond)
 		h.grantLease()
 		h.startRun(1)
@@ -50,7 +51,10 @@
 		second := h.startRun(2)
 		time.Sleep(time.Millisecond)
 		h.TakeUpdate()
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}, "")
+		h.fake.mu.Lock()
+		h.fake.confirmations = 1
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}))
 		time.Sleep(100 * time.Millisecond)
 		_, any := h.TakeUpdate()
 		must.False(t, any, must.Sprint("the new incarnation has not listed its runs"))
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -30,9 +30,15 @@
 
 // Results of status reports, as label values.
 const (
-	reportCurrent  = "current"
+	reportCurrent = "current"
+	// reportOutdated: a later report of the current incarnation has been applied.
 	reportOutdated = "outdated"
-	reportAdopted  = "adopted"
+	// reportAdopted: the reported incarnation became the current one.
+	reportAdopted = "adopted"
+	// reportOther: another incarnation answers at the runner's address.
+	reportOther = "other-incarnation"
+	// reportUnconfirmed: nothing answered at the runner's address in time.
+	reportUnconfirmed = "unconfirmed"
 )
 
 func countReport(result string) {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -106,8 +106,10 @@
 	endedIncarnations map[incarnation]bool
 	// ignoredReport is the incarnation of the last report that was ignored.
 	ignoredReport incarnation
-	token         int64
-	runs          map[job.Run]*taskRun
+	// adoptions counts the calls of setIncarnation.
+	adoptions int
+	token     int64
+	runs      map[job.Run]*taskRun
 	// ends are the ends that the ledger has not stored yet. receivedEnd is the sequence
 	// number of the last end received, storedEnd that of the last end stored.
 	ends        []job.End
@@ -151,11 +153,6 @@
 	calls       sync.WaitGroup
 }
 
-type incarnation struct {
-	id        string
-	startTime int64
-}
-
 // restartGraceFactor times MaxLease is the time after a restart of the runner by which the
 // leases of all earlier starts have expired. A start sent to the previous incarnation may
 // reach the new one and obtain a lease there: its lease end is a time on the previous
@@ -266,95 +263,6 @@
 	}
 }
 
-// RunnerReported applies a status report of the runner. It ignores reports of earlier
-// incarnations and reports that arrive out of order. sender is the address from which the report
-// came, for the log.
-func (s *Supervisor) RunnerReported(r job.Runner, sender string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cur := s.runner
-	switch {
-	case s.endedIncarnations[incarnation{r.ID, r.StartTime}]:
-		s.reportIgnored(&r, sender, "incarnation has ended")
-		return
-	case cur != nil && cur.SameIncarnation(&r):
-		if r.Sequence <= cur.Sequence {
-			countReport(reportOutdated)
-			return
-		}
-		countReport(reportCurrent)
-		changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
-		s.runner = &r
-		if changed {
-			s.runnerChanged()
-		}
-		return
-	case cur != nil && r.StartTime != 0 && r.StartTime < cur.StartTime:
-		s.reportIgnored(&r, sender, "incarnation is older than the current one")
-		return
-	}
-	countReport(reportAdopted)
-	s.setIncarnation(&r, sender)
-}
-
-func (s *Supervisor) reportIgnored(r *job.Runner, sender, why string) {
-	countReport(reportOutdated)
-	if s.ignoredReport == (incarnation{r.ID, r.StartTime}) {
-		return
-	}
-	s.ignoredReport = incarnation{r.ID, r.StartTime}
-	fields := log.Fields{"reported": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender, "why": why}
-	if s.runner != nil {
-		fields["runner"], fields["runner_born"] = s.runner.ID, s.runner.StartTime
-	}
-	s.opts.Logger.WithFields(fields).Warn("runner reports ignored")
-}
-
-// RunnerLeft marks an incarnation of the runner as draining with no time remaining. A
-// startTime of 0 matches every incarnation of the id.
-func (s *Supervisor) RunnerLeft(id string, startTime int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.runner == nil || s.runner.ID != id || startTime != 0 && startTime != s.runner.StartTime {
-		return
-	}
-	left := *s.runner
-	left.Draining, left.Remaining = true, 0
-	s.runner = &left
-	s.runnerChanged()
-}
-
-// setIncarnation makes a new incarnation, or another runner, the current one.
-func (s *Supervisor) setIncarnation(r *job.Runner, sender string) {
-	restarted := s.runner != nil && s.runner.ID == r.ID
-	if s.runner != nil {
-		s.endedIncarnations[incarnation{s.runner.ID, s.runner.StartTime}] = true
-		s.token++
-		s.opts.Logger.WithFields(log.Fields{
-			"runner": s.runner.ID, "runner_born": s.runner.StartTime, "runner_address": s.runner.Address,
-			"new_runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender,
-			"runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
-		}).Warn("runner restarted or replaced")
-	} else {
-		s.opts.Logger.WithFields(log.Fields{"runner": r.ID, "born": r.StartTime, "address": r.Address, "sender": sender}).Info("runner discovered")
-	}
-	if s.cancelRenewal != nil {
-		s.cancelRenewal()
-	}
-	s.runner = r
-	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
-	s.acknowledgedEnd, s.answeredAt = 0, 0
-	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
-	s.update.Active, s.update.Ends = nil, nil
-	if restarted {
-		s.reconcileAfterRestart()
-	} else {
-		s.dropAllRuns(causeReplaced)
-	}
-	s.runnerChanged()
-	s.signal(s.renewNow)
-}
-
 // dropAllRuns drops all runs of the current incarnation. Each is reported as refused, since
 // the leader may not have a record of some of their orders yet. RefusedLate is the reason
 // for started runs too: the leader starts their tasks again and, as for an order that came
@@ -365,20 +273,6 @@
 	}
 }
 
-// reconcileAfterRestart keeps the runs of the previous incarnation when the runner restarts
-// under the same id. A start that was sent before the restart was detected may have reached
-// the new incarnation. Its first list shows which runs are alive; the leader receives the
-// restart together with that list.
-func (s *Supervisor) reconcileAfterRestart() {
-	now := s.opts.Now()
-	s.restarted, s.runsListed = true, false
-	s.runsKnownAt = now + restartGraceFactor*s.opts.MaxLease
-	s.runnerLeaseUntil = s.runsKnownAt
-	for _, r := range s.runs {
-		r.reconciling, r.reconcilingSince, r.notListedReason = r.phase != starting, now, runner.RefusedIncarnationEnded
-	}
-}
-
 // leaseLeft returns how much of the lease that was given to the runner may be left; at most 0 if it has
 // expired.
 func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -37,6 +37,8 @@
 	// onStart returns the answer to a start; a nil function confirms every start.
 	onStart  func(runner.StartRequest) (runner.Refusal, error)
 	renewErr error
+	// confirmations is the number of renewals without a wait that are answered in spite of renewErr.
+	confirmations int
 	// acknowledgements are the acknowledged ends other than 0 of all renewals, in order.
 	acknowledgements []int64
 	startedAt        time.Time
@@ -107,7 +109,9 @@
 	deadline := time.Now().Add(o.Wait)
 	for {
 		f.mu.Lock()
-		if f.renewErr != nil {
+		if f.renewErr != nil && o.Wait == 0 && f.confirmations > 0 {
+			f.confirmations--
+		} else if f.renewErr != nil {
 			defer f.mu.Unlock()
 			return runner.Report{}, f.renewErr
 		}
@@ -174,8 +178,13 @@
 	})
 }
 
+// report passes a status report to the supervisor and returns its error.
+func (h *harness) report(r job.Runner) error {
+	return h.RunnerReported(h.t.Context(), r, "10.2.0.182:4711")
+}
+
 func (h *harness) reportRunner(id string, sequence int64) {
-	h.RunnerReported(job.Runner{ID: id, Service: "desk", Sequence: sequence}, "")
+	_ = h.report(job.Runner{ID: id, Service: "desk", Sequence: sequence})
 	time.Sleep(50 * time.Millisecond)
 }
 
@@ -380,7 +389,7 @@
 	runTest(t, nil, func(h *harness) {
 		h.reportRunner("i-1", 1)
 		h.grantLease()
-		h.RunnerReported(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true}, "")
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true}))
 		h.startRun(1)
 		u := h.collectUpdates(time.Second)
 		test.Len(t, 1, u.Refusals)
@@ -394,10 +403,10 @@
 func TestSupervisor_DelayedReportAfterRestart(t *testing.T) {
 	earlier := job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 900}
 	current := job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 2, Draining: true}
-	for _, reports := range [][]job.Runner{{earlier, current}, {current, earlier}, {earlier, current, earlier}} {
-		runTest(t, nil, func(h *harness) {
+	check := func(reports []job.Runner, answered int64) {
+		runTest(t, func(f *fakeRunner) { f.startTime = answered }, func(h *harness) {
 			for _, r := range reports {
-				h.RunnerReported(r, "")
+				_ = h.report(r)
 				time.Sleep(50 * time.Millisecond)
 			}
 			snapshot, ok := h.Snapshot()
@@ -410,4 +419,8 @@
 			test.Len(t, 0, h.fake.starts)
 		})
 	}
+	for _, reports := range [][]job.Runner{{earlier, current}, {current, earlier}, {earlier, current, earlier}} {
+		check(reports, 0)
+		check(reports, current.StartTime)
+	}
 }
