supervisor: give no lease after a failed renewal before the runner's next answer

Cause: a renewal that got no answer was repeated with a new end of the lease on the clock of the incarnation that had answered last. Each repetition might have arrived, so the books extended the lease for as long as the leader granted one: the runs of an unresponsive runner were never given up. And if the runner had begun anew, the lease named a time on its predecessor's clock, which may last for the platform's longest lease, up to 4 s more than the leader waits where that is 10 s.

After a failed renewal the runner's clock is unknown until it answers, so calls carry no lease. An answer of an incarnation that has not been reported counts as a failed renewal. Starts without a lease for this reason are refused as unhealthy, so that the leader pauses.

TestSupervisor_NoLeaseBeforeTheNextAnswer and TestSupervisor_AnswersOfUnreportedIncarnation fail without the change (no run is ever refused), and pass with it.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -100,7 +100,7 @@
 	}
 	if report.StartTime != 0 && s.runner.StartTime != 0 && report.StartTime != s.runner.StartTime {
 		// The status report of the new incarnation has not arrived yet.
-		return failurePause
+		return s.renewFailed(runner.ErrOtherIncarnation)
 	}
 	s.acknowledgedEnd, s.answeredAt = max(s.acknowledgedEnd, request.AcknowledgedEnd), s.opts.Now()
 	s.applyReport(sentAt, report)
@@ -151,8 +151,9 @@
 
 func (s *Supervisor) renewFailed(err error) time.Duration {
 	now := s.opts.Now()
-	// The next incarnation may be running: nothing is acknowledged before an answer of this one.
-	s.answeredAt = 0
+	// The next incarnation may be running: nothing is acknowledged, and no lease is given on this
+	// one's clock, before another answer.
+	s.answeredAt, s.runnerClockAt = 0, 0
 	var refused interface{ Reason() runner.Refusal }
 	if errors.As(err, &refused) && refused.Reason() == runner.RefusedFence {
 		countFailedRenewal("fence")
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -141,3 +141,60 @@
 		test.Eq(t, ended[0].Sequence, h.fake.acknowledged())
 	})
 }
+
+// Guards against runs of an unresponsive runner that were never given up while the leader went on
+// granting leases, and against a lease on an earlier incarnation's clock: that incarnation's
+// successor would keep its runs for longer than the leader waits.
+func TestSupervisor_NoLeaseBeforeTheNextAnswer(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		run := h.runOn("i-1")
+		h.fake.setRenewErr(errNoAnswer)
+		time.Sleep(failurePause)
+		h.fake.mu.Lock()
+		h.fake.leaseEnds = nil
+		h.fake.mu.Unlock()
+		var refusals []RefusedStart
+		for range 2 * testLease / heartbeat {
+			h.grantLease()
+			refusals = append(refusals, h.collectUpdates(heartbeat).Refusals...)
+		}
+		must.Len(t, 1, refusals)
+		test.Eq(t, run, refusals[0].Run)
+		h.fake.mu.Lock()
+		for _, end := range h.fake.leaseEnds {
+			test.Zero(t, end)
+		}
+		h.fake.mu.Unlock()
+		h.fake.setRenewErr(nil)
+		h.grantLease()
+		before := h.fake.leaseEnd()
+		time.Sleep(2 * renewWait)
+		test.Greater(t, before, h.fake.leaseEnd())
+	})
+}
+
+// Guards against a lease given to an incarnation of which no report has arrived, and against
+// runs that are kept for ever because its answers are neither lists nor failures.
+func TestSupervisor_AnswersOfUnreportedIncarnation(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		run := h.runOn("i-1")
+		h.fake.mu.Lock()
+		h.fake.startTime, h.fake.active, h.fake.leaseEnds = 200, nil, nil
+		h.fake.mu.Unlock()
+		var refusals []RefusedStart
+		for range 2 * testLease / heartbeat {
+			h.grantLease()
+			refusals = append(refusals, h.collectUpdates(heartbeat).Refusals...)
+		}
+		must.Len(t, 1, refusals)
+		test.Eq(t, run, refusals[0].Run)
+		h.fake.mu.Lock()
+		defer h.fake.mu.Unlock()
+		for _, end := range h.fake.leaseEnds[1:] {
+			test.Zero(t, end, test.Sprint("the first call after the restart may name the earlier clock"))
+		}
+	})
+}
+
+// heartbeat is the interval at which an agent's leader grants leases.
+const heartbeat = 300 * time.Millisecond
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -55,9 +55,10 @@
 			if !sent {
 				s.opts.Logger.WithFields(log.Fields{
 					"task": o.Details.Run.Task.String(), "run": o.Details.Run.Number, "leased": lease != 0,
-					"late_ms": (now - o.ValidUntil).Milliseconds(),
+					"late_ms":     (now - o.ValidUntil).Milliseconds(),
+					"clock_known": s.runnerClockAt != 0,
 				}).Warn("start order refused: expired or no lease")
-				s.dropRun(o.Details.Run, runner.RefusedLate, causeNoLease)
+				s.dropRun(o.Details.Run, s.noLeaseReason(), causeNoLease)
 			}
 			s.mu.Unlock()
 			break
@@ -79,6 +80,15 @@
 	}
 }
 
+// noLeaseReason returns the reason for which a start is refused that has no lease or has expired. It
+// is the runner's fault if the runner does not answer.
+func (s *Supervisor) noLeaseReason() runner.Refusal {
+	if s.failures > 0 && s.runnerClockAt == 0 {
+		return runner.RefusedUnhealthy
+	}
+	return runner.RefusedLate
+}
+
 // expired reports whether the order has expired: its sender may no longer be the leader.
 func (o Order) expired(now time.Duration) bool { return o.ValidUntil != 0 && now >= o.ValidUntil }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -41,7 +41,9 @@
 	confirmations int
 	// acknowledgements are the acknowledged ends other than 0 of all renewals, in order.
 	acknowledgements []int64
-	startedAt        time.Time
+	// leaseEnds are the requested lease ends of all renewals, in order.
+	leaseEnds []time.Duration
+	startedAt time.Time
 }
 
 func (f *fakeRunner) clock() time.Duration { return time.Since(f.startedAt) }
@@ -106,6 +108,9 @@
 		f.acknowledgements = append(f.acknowledgements, o.AcknowledgedEnd)
 		f.mu.Unlock()
 	}
+	f.mu.Lock()
+	f.leaseEnds = append(f.leaseEnds, o.LeaseEnd)
+	f.mu.Unlock()
 	deadline := time.Now().Add(o.Wait)
 	for {
 		f.mu.Lock()
