supervisor: refused connections do not prove that a runner's runs are gone

Cause: after 300 ms of refused connections an agent took its runner's process as dead, reported all runs as gone and ignored that incarnation from then on. While the address was refused for another reason the runs went on under their lease and ran twice. Nothing in the protocol says that a refused connection means an ended process.

The agent now reports that no runner answers, so that nothing new is placed there, and keeps the runs until their lease has expired, unless the runner had announced its end by a DELETE. If it answers again, the agent reports it with all its runs. A start whose connection was refused was never sent; it is refused at once. The planner takes the agent's list of runs at each change from or to a runner that does not answer.

Price: the runs of a crashed runner that neither left nor came back wait for their lease, up to 6 s instead of 0.3 s.

TestPlanner_UnreachableRunnerKeepsItsRuns is new.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -257,17 +257,17 @@
 }
 
 // RunnerChanged applies a new description of a connected agent's runner, nil if it has
-// left. After a restart, active holds the runs that may be alive there. Unconfirmed runs
-// that are not in active are kept: their start may still be in flight to the agent, which
-// will report the outcome.
+// left or does not answer. Unless the runner is still the same incarnation, active holds the runs
+// that may be alive there. Unconfirmed runs that are not in active are kept: their start may still
+// be in flight to the agent, which will report the outcome.
 func (p *Planner) RunnerChanged(now time.Duration, id string, r *job.Runner, active []job.Activity) {
 	a := p.agents[id]
 	if a == nil || a.state != live {
 		return
 	}
-	restarted := a.runner != nil && (r == nil || !a.runner.SameIncarnation(r))
+	sameIncarnation := a.runner != nil && r != nil && a.runner.SameIncarnation(r)
 	p.setRunner(a, r)
-	if restarted {
+	if !sameIncarnation {
 		p.reconcileRuns(now, a, active, func(r *run) bool { return r.confirmedAt != 0 })
 	}
 }
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -106,3 +106,27 @@
 	f.now += time.Second
 	must.Len(t, 1, f.plan().Starts)
 }
+
+// Guards against starting the runs of a runner elsewhere while it does not answer, and against
+// keeping those that a later incarnation does not list.
+func TestPlanner_UnreachableRunnerKeepsItsRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(2)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 2, starts)
+	active := []job.Activity{{Run: starts[0].Run}, {Run: starts[1].Run}}
+	f.ActivityReported(f.now, "a", active)
+	f.agent("b")
+	f.RunnerChanged(f.now, "a", nil, active)
+	must.Len(t, 0, f.plan().Starts)
+	f.RunnerChanged(f.now, "a", testRunner("a"), active)
+	must.Len(t, 0, f.plan().Starts)
+	f.RunnerChanged(f.now, "a", nil, active)
+	next := testRunner("a")
+	next.StartTime = 2
+	f.RunnerChanged(f.now, "a", next, active[:1])
+	again := f.plan().Starts
+	must.Len(t, 1, again)
+	test.Eq(t, starts[1].Run.Task, again[0].Run.Task)
+}
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -31,7 +31,8 @@
 	// acknowledgeWithin is how long after an answer of an incarnation its ends may be
 	// acknowledged.
 	acknowledgeWithin = 50 * time.Millisecond
-	// noRunnerWait is the pause while there is no runner.
+	// noRunnerWait is the pause while there is no runner, or only one that does not answer and has no
+	// runs.
 	noRunnerWait = time.Second
 )
 
@@ -45,7 +46,7 @@
 	// leaseMargin allows for rounding to milliseconds.
 	leaseMargin = 20 * time.Millisecond
 	// noListenerTimeout is how long connections to the runner's address must be refused
-	// before its process counts as dead.
+	// before the runner counts as unreachable or, if it had announced its end, as ended.
 	noListenerTimeout = 300 * time.Millisecond
 )
 
@@ -170,12 +171,19 @@
 		s.noListenerSince = 0
 	case s.noListenerSince == 0:
 		s.noListenerSince = now
+	case now-s.noListenerSince > noListenerTimeout && s.left:
+		s.dropRunner()
+		return noRunnerWait
 	case now-s.noListenerSince > noListenerTimeout:
-		s.dropRunner("process has exited")
+		// The process may be alive: only the end of their lease proves that its runs are gone.
+		s.setUnreachable(true)
 	}
-	if s.runner != nil && s.runnerLeaseUntil != 0 && now > s.runnerLeaseUntil+killTime {
+	if s.runnerLeaseUntil != 0 && now > s.runnerLeaseUntil+killTime {
 		s.expireRuns()
 	}
+	if s.unreachable && len(s.runs) == 0 {
+		return noRunnerWait
+	}
 	return failurePause
 }
 
@@ -192,19 +200,20 @@
 	return "no-answer"
 }
 
-// dropRunner removes the record of a runner whose process has exited, and drops its runs.
-func (s *Supervisor) dropRunner(why string) {
+// dropRunner removes the record of a runner that had announced its end and has ended, and drops its
+// runs.
+func (s *Supervisor) dropRunner() {
 	s.opts.Logger.WithFields(log.Fields{
-		"runner": s.runner.ID, "born": s.runner.StartTime, "why": why, "runs_lost": len(s.runs),
+		"runner": s.runner.ID, "born": s.runner.StartTime, "runs_lost": len(s.runs),
 		"refused_ms": (s.opts.Now() - s.noListenerSince).Milliseconds(), "lease_left_ms": s.leaseLeft().Milliseconds(),
-	}).Warn("runner process exited")
+	}).Warn("runner has left")
 	s.endedIncarnations[incarnationOf(s.runner)] = true
 	s.token++
 	s.runner = nil
 	s.dropAllRuns(causeNoListener)
 	s.ends = nil
 	s.noListenerSince, s.runnerLeaseUntil = 0, 0
-	s.restarted = false
+	s.restarted, s.left, s.unreachable = false, false, false
 	s.update.Active, s.update.Ends = nil, nil
 	s.runnerChanged()
 }
@@ -221,6 +230,7 @@
 		s.opts.Logger.WithField("runner", s.runner.ID).Info("lease renewal succeeds again")
 	}
 	s.failures, s.noListenerSince = 0, 0
+	defer s.setUnreachable(false)
 	if !s.runsListed {
 		defer s.signal(s.notify)
 		s.runsListed = true
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -69,6 +69,9 @@
 		return true
 	}
 	countReport(reportCurrent)
+	if s.unreachable {
+		s.signal(s.renewNow)
+	}
 	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
 	s.runner = r
 	if changed {
@@ -148,6 +151,7 @@
 	if s.runner == nil || s.runner.ID != id || startTime != 0 && startTime != s.runner.StartTime {
 		return
 	}
+	s.left = true
 	left := *s.runner
 	left.Draining, left.Remaining = true, 0
 	s.runner = &left
@@ -172,7 +176,7 @@
 		s.cancelRenewal()
 	}
 	s.adoptions++
-	s.runner = r
+	s.runner, s.left, s.unreachable = r, false, false
 	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
 	s.acknowledgedEnd, s.answeredAt = 0, 0
 	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -106,7 +106,7 @@
 	switch {
 	case errors.Is(err, runner.ErrOtherIncarnation):
 		s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
-	case errors.Is(err, runner.ErrUnhealthy) && !sent:
+	case (errors.Is(err, runner.ErrUnhealthy) || errors.Is(err, runner.ErrNoListener)) && !sent:
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 	case err != nil:
 		s.opts.Logger.WithError(err).WithFields(log.Fields{
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -54,7 +54,8 @@
 // Update holds the changes since the previous update.
 type Update struct {
 	// RunnerChanged marks Runner as changed. A nil Runner then means that the agent has
-	// no runner.
+	// no runner that answers. After another incarnation or a nil Runner, Active has all runs that
+	// may be alive.
 	RunnerChanged bool
 	Runner        *job.Runner
 	// Active also holds unconfirmed and stopping runs.
@@ -102,6 +103,10 @@
 
 	mu     sync.Mutex
 	runner *job.Runner
+	// left is set once the runner has announced its end. unreachable is set while its address refuses
+	// connections or another incarnation answers there; the leader then learns of no runner, while
+	// runs count as alive until their lease has expired.
+	left, unreachable bool
 	// endedIncarnations holds the earlier incarnations of the runner.
 	endedIncarnations map[incarnation]bool
 	// ignoredReport is the incarnation of the last report that was ignored.
@@ -212,7 +217,7 @@
 
 // fullState returns the full state as an update.
 func (s *Supervisor) fullState() Update {
-	u := Update{RunnerChanged: true, Runner: s.runner, Ends: append([]job.End(nil), s.ends...)}
+	u := Update{RunnerChanged: true, Runner: s.reachableRunner(), Ends: append([]job.End(nil), s.ends...)}
 	for _, r := range s.runs {
 		u.Active = append(u.Active, r.activity)
 	}
@@ -278,7 +283,28 @@
 func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
 
 func (s *Supervisor) runnerChanged() {
-	s.update.RunnerChanged, s.update.Runner = true, s.runner
+	s.update.RunnerChanged, s.update.Runner = true, s.reachableRunner()
+	s.signal(s.notify)
+}
+
+// reachableRunner returns the current incarnation; nil if there is none or it does not answer.
+func (s *Supervisor) reachableRunner() *job.Runner {
+	if s.unreachable {
+		return nil
+	}
+	return s.runner
+}
+
+// setUnreachable changes whether the current incarnation answers, and reports the change with the
+// full state.
+func (s *Supervisor) setUnreachable(unreachable bool) {
+	if s.unreachable == unreachable {
+		return
+	}
+	s.unreachable = unreachable
+	refused := s.update.Refusals
+	s.update = s.fullState()
+	s.update.Refusals = refused
 	s.signal(s.notify)
 }
 
