supervisor: leave the runs of a replaced runner to the end of their lease

Cause: when a runner with another id answered at the agent's runner address, or answered a call that stops a run, the runs of the earlier one were reported as gone at once. That the earlier process has ended is not shown by that: its runs may go on until the lease that the agent gave it has expired.

Such runs are now orphaned: the leader goes on to count them as alive, no call is sent for them, and the agent drops them when the lease has expired. Dropped at once are only runs that were never sent to that runner, and those of a runner that had announced its end. A runner that begins anew under its id holds nothing of before (PROTOCOL), and is reconciled by its first list as before. While another incarnation answers, the leader learns of no runner.

TestSupervisor_NewIncarnation demanded the fault, that all runs are refused at once; its runner now leaves first, and its checks are unchanged: the other case is checked by TestSupervisor_SuccessorBeforeLeaseEnds.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -69,6 +69,7 @@
 // renewOnce renews the lease once and returns the pause before the next renewal.
 func (s *Supervisor) renewOnce(ctx context.Context) time.Duration {
 	s.mu.Lock()
+	s.dropExpiredOrphans()
 	fence, ok := s.fence()
 	if !ok {
 		s.mu.Unlock()
@@ -167,6 +168,9 @@
 	}
 	s.failures++
 	switch {
+	case errors.Is(err, runner.ErrOtherIncarnation):
+		s.noListenerSince = 0
+		s.setUnreachable(true)
 	case !errors.Is(err, runner.ErrNoListener):
 		s.noListenerSince = 0
 	case s.noListenerSince == 0:
@@ -214,8 +218,7 @@
 	s.ends = nil
 	s.noListenerSince, s.runnerLeaseUntil = 0, 0
 	s.restarted, s.left, s.unreachable = false, false, false
-	s.update.Active, s.update.Ends = nil, nil
-	s.runnerChanged()
+	s.reportFullState()
 }
 
 // expireRuns drops the runs of an unresponsive runner after its lease has expired. The lease
@@ -252,9 +255,7 @@
 	}
 	if s.restarted {
 		s.restarted = false
-		refused := s.update.Refusals
-		s.update = s.fullState()
-		s.update.Refusals = refused
+		s.reportFullState()
 	}
 	if now := s.opts.Now(); now-s.throttleCheckedAt >= reportInterval {
 		s.throttleCheckedAt = now
@@ -289,7 +290,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
-	r.reportsNotListed = 0
+	r.reportsNotListed, r.orphanedUntil = 0, 0
 	r.reconciling = false
 	wasUnconfirmed := r.activity.Unconfirmed
 	r.activity = act
@@ -307,6 +308,7 @@
 // runNotListed handles a run that a report does not list as active or ended.
 func (s *Supervisor) runNotListed(sentAt time.Duration, run job.Run, r *taskRun) {
 	switch {
+	case r.orphanedUntil != 0:
 	case r.reconciling && sentAt > r.reconcilingSince:
 		s.dropRun(run, r.notListedReason, causeNotListed)
 	case r.phase == running && !r.reconciling:
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -175,21 +175,38 @@
 	if s.cancelRenewal != nil {
 		s.cancelRenewal()
 	}
+	if !restarted {
+		s.giveUpRuns()
+	}
 	s.adoptions++
 	s.runner, s.left, s.unreachable = r, false, false
 	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
 	s.acknowledgedEnd, s.answeredAt = 0, 0
 	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
-	s.update.Active, s.update.Ends = nil, nil
 	if restarted {
 		s.reconcileAfterRestart()
-	} else {
-		s.dropAllRuns(causeReplaced)
 	}
-	s.runnerChanged()
+	s.reportFullState()
 	s.signal(s.renewNow)
 }
 
+// giveUpRuns gives up the runs of the current incarnation when a runner with another id answers at
+// its address. The earlier process may live on unless it had announced its end, so that only runs
+// that were never sent to it are dropped at once. The others are left to the end of its lease.
+func (s *Supervisor) giveUpRuns() {
+	if s.left {
+		s.dropAllRuns(causeReplaced)
+		return
+	}
+	for run, r := range s.runs {
+		if r.phase == starting && !r.sent {
+			s.dropRun(run, runner.RefusedLate, causeReplaced)
+		} else {
+			s.orphan(r)
+		}
+	}
+}
+
 // reconcileAfterRestart keeps the runs of the previous incarnation when the runner restarts
 // under the same id. A start that was sent before the restart was detected may have reached
 // the new incarnation. Its first list shows which runs are alive; the leader receives the
@@ -200,6 +217,9 @@
 	s.runsKnownAt = now + restartGraceFactor*s.opts.MaxLease
 	s.runnerLeaseUntil = s.runsKnownAt
 	for _, r := range s.runs {
+		if r.orphanedUntil != 0 {
+			continue
+		}
 		r.reconciling, r.reconcilingSince, r.notListedReason = r.phase != starting, now, runner.RefusedIncarnationEnded
 	}
 }
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
@@ -10,8 +11,8 @@
 	"bamboowood/internal/job"
 )
 
-// After the runner is replaced, its runs are reported as refused, and delayed reports of the
-// previous incarnation are ignored.
+// After the runner has left and is replaced, its runs are reported as refused, and delayed reports
+// of the previous incarnation are ignored.
 func TestSupervisor_NewIncarnation(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
 		h.reportRunner("i-1", 1)
@@ -23,6 +24,7 @@
 		h.fake.active, h.fake.ends, h.fake.acknowledgedEnd = nil, nil, 0
 		h.fake.mu.Unlock()
 		h.TakeUpdate()
+		h.RunnerLeft("i-1", 0)
 		h.reportRunner("i-2", 1)
 		u, _ := h.TakeUpdate()
 		test.Len(t, 1, u.Refusals, test.Sprint("each lost run is reported to the leader"))
@@ -38,7 +40,7 @@
 // restart was reported. That run is alive, and only the runs that the new incarnation does not
 // list are dropped. No update reports the restart before the first list has arrived.
 func TestSupervisor_StartReachesNextIncarnation(t *testing.T) {
-	runTest(t, nil, func(h *harness) {
+	runTest(t, func(f *fakeRunner) { f.startTime = 100 }, func(h *harness) {
 		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}))
 		time.Sleep(50 * time.Millisecond)
 		h.grantLease()
@@ -46,13 +48,14 @@
 		h.collectUpdates(100 * time.Millisecond)
 		h.fake.mu.Lock()
 		h.fake.active, h.fake.ends, h.fake.acknowledgedEnd = nil, nil, 0
-		h.fake.renewErr = errNoAnswer
 		h.fake.mu.Unlock()
 		second := h.startRun(2)
+		synctest.Wait()
+		h.fake.setRenewErr(errNoAnswer)
 		time.Sleep(time.Millisecond)
 		h.TakeUpdate()
 		h.fake.mu.Lock()
-		h.fake.confirmations = 1
+		h.fake.startTime, h.fake.answeredToken = 200, 1
 		h.fake.mu.Unlock()
 		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}))
 		time.Sleep(100 * time.Millisecond)
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -47,7 +47,7 @@
 		s.mu.Lock()
 		fence, ok := s.fence()
 		lease := s.leaseOnRunnerClock()
-		if !ok || s.runs[o.Details.Run] != r || r.phase != starting {
+		if !ok || s.runs[o.Details.Run] != r || r.phase != starting || r.orphanedUntil != 0 {
 			s.mu.Unlock()
 			break
 		}
@@ -63,6 +63,7 @@
 			s.mu.Unlock()
 			break
 		}
+		r.sent = true
 		s.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		refusal, _, err := s.opts.Runner.Start(callCtx, fence, runner.StartRequest{
@@ -100,10 +101,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run := o.Details.Run
-	if s.runs[run] != r || r.phase == stopping {
+	if s.runs[run] != r || r.phase == stopping || r.orphanedUntil != 0 {
 		return true
 	}
 	switch {
+	case errors.Is(err, runner.ErrOtherIncarnation) && sent:
+		s.orphan(r)
 	case errors.Is(err, runner.ErrOtherIncarnation):
 		s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
 	case (errors.Is(err, runner.ErrUnhealthy) || errors.Is(err, runner.ErrNoListener)) && !sent:
@@ -163,7 +166,7 @@
 // still in transit has no effect.
 func (s *Supervisor) stopUnconfirmed(ctx context.Context, run job.Run, r *taskRun) {
 	s.mu.Lock()
-	if s.runs[run] != r || r.phase != starting {
+	if s.runs[run] != r || r.phase != starting || r.orphanedUntil != 0 {
 		s.mu.Unlock()
 		return
 	}
@@ -172,6 +175,8 @@
 	s.stopUntilConfirmed(ctx, run, r)
 }
 
+// stopUntilConfirmed stops a run until that is confirmed or the run is no longer on record. The
+// incarnation of an orphaned run does not answer, so that no call is sent for it.
 func (s *Supervisor) stopUntilConfirmed(ctx context.Context, run job.Run, r *taskRun) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
@@ -180,29 +185,9 @@
 			s.mu.Unlock()
 			return
 		}
+		orphaned := r.orphanedUntil != 0
 		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		refusal, err := s.opts.Runner.Stop(callCtx, fence, run)
-		cancel()
-		s.mu.Lock()
-		done := s.runs[run] != r
-		switch {
-		case done:
-		case errors.Is(err, runner.ErrOtherIncarnation):
-			s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
-			done = true
-		case err == nil && refusal == runner.RefusedFence:
-			s.raiseToken()
-		case err == nil:
-			s.reconcile(r, runner.RefusedStale)
-			done = true
-		default:
-			s.opts.Logger.WithError(err).WithFields(log.Fields{
-				"task": run.Task.String(), "run": run.Number,
-			}).Warn("stop call failed")
-		}
-		s.mu.Unlock()
-		if done {
+		if !orphaned && s.stopOnce(ctx, fence, run, r) {
 			return
 		}
 		select {
@@ -211,3 +196,29 @@
 		}
 	}
 }
+
+// stopOnce sends one call to stop a run and reports whether no further one is needed.
+func (s *Supervisor) stopOnce(ctx context.Context, fence runner.Fence, run job.Run, r *taskRun) (done bool) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	refusal, err := s.opts.Runner.Stop(callCtx, fence, run)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.runs[run] != r:
+		return true
+	case r.orphanedUntil != 0:
+	case errors.Is(err, runner.ErrOtherIncarnation):
+		s.orphan(r)
+	case err == nil && refusal == runner.RefusedFence:
+		s.raiseToken()
+	case err == nil:
+		s.reconcile(r, runner.RefusedStale)
+		return true
+	default:
+		s.opts.Logger.WithError(err).WithFields(log.Fields{
+			"task": run.Task.String(), "run": run.Number,
+		}).Warn("stop call failed")
+	}
+	return false
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -93,6 +93,11 @@
 	speedLimit, confirmedSpeedLimit int
 	// reportedAt is when the run's progress was last put into an update.
 	reportedAt time.Duration
+	// sent is set once a call to start the run may have reached the runner.
+	sent bool
+	// orphanedUntil is set for a run of an incarnation that no longer answers: only the end of its
+	// lease, at this time at the latest, proves that it is gone. 0 for all other runs.
+	orphanedUntil time.Duration
 	// reportsNotListed counts the consecutive reports that do not list this confirmed run.
 	reportsNotListed int
 }
@@ -268,13 +273,33 @@
 	}
 }
 
-// dropAllRuns drops all runs of the current incarnation. Each is reported as refused, since
+// orphan leaves a run to the end of the lease that was given to the runner.
+func (s *Supervisor) orphan(r *taskRun) {
+	r.reconciling = false
+	if r.orphanedUntil == 0 {
+		r.orphanedUntil = max(s.runnerLeaseUntil, s.opts.Now()) + killTime
+	}
+}
+
+// dropExpiredOrphans drops the orphaned runs whose lease has expired.
+func (s *Supervisor) dropExpiredOrphans() {
+	now := s.opts.Now()
+	for run, r := range s.runs {
+		if r.orphanedUntil != 0 && now > r.orphanedUntil {
+			s.dropRun(run, runner.RefusedLate, causeLeaseExpired)
+		}
+	}
+}
+
+// dropAllRuns drops all runs of the current incarnation, but not orphaned ones. Each is reported as refused, since
 // the leader may not have a record of some of their orders yet. RefusedLate is the reason
 // for started runs too: the leader starts their tasks again and, as for an order that came
 // too late, does not count it against the runner's health.
 func (s *Supervisor) dropAllRuns(cause string) {
-	for run := range s.runs {
-		s.dropRun(run, runner.RefusedLate, cause)
+	for run, r := range s.runs {
+		if r.orphanedUntil == 0 {
+			s.dropRun(run, runner.RefusedLate, cause)
+		}
 	}
 }
 
@@ -302,6 +327,11 @@
 		return
 	}
 	s.unreachable = unreachable
+	s.reportFullState()
+}
+
+// reportFullState makes the next update hold the full state beside the pending refusals.
+func (s *Supervisor) reportFullState() {
 	refused := s.update.Refusals
 	s.update = s.fullState()
 	s.update.Refusals = refused
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -37,8 +37,8 @@
 	// onStart returns the answer to a start; a nil function confirms every start.
 	onStart  func(runner.StartRequest) (runner.Refusal, error)
 	renewErr error
-	// confirmations is the number of renewals without a wait that are answered in spite of renewErr.
-	confirmations int
+	// answeredToken is the highest fencing token of renewals that are answered in spite of renewErr.
+	answeredToken int64
 	// acknowledgements are the acknowledged ends other than 0 of all renewals, in order.
 	acknowledgements []int64
 	// leaseEnds are the requested lease ends of all renewals, in order.
@@ -114,9 +114,7 @@
 	deadline := time.Now().Add(o.Wait)
 	for {
 		f.mu.Lock()
-		if f.renewErr != nil && o.Wait == 0 && f.confirmations > 0 {
-			f.confirmations--
-		} else if f.renewErr != nil {
+		if f.renewErr != nil && fence.Token > f.answeredToken {
 			defer f.mu.Unlock()
 			return runner.Report{}, f.renewErr
 		}
