soak: runners whose agent does not acknowledge a report call other agents

PROTOCOL: a 2xx acknowledges the ping if it arrives within a second; otherwise the next node is called. The soak's runners only ever called the agent of their own VM. TestSoak is unchanged.

The agents' logs have "runner restarted or replaced" with the id of another VM's runner.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -66,7 +66,23 @@
 	216, // an acknowledgement reached a runner's next incarnation, as in 113, after a failed renewal
 }
 
-func TestSoak(t *testing.T) {
+// options are what the runs of a test do besides the faults that all tests share. What they add
+// has random numbers of its own, so that a seed has the same schedule with any options.
+type options struct {
+	// reportsFallBack makes runners call other agents when their own does not acknowledge a report.
+	reportsFallBack bool
+}
+
+func TestSoak(t *testing.T) { runSeeds(t, regressions, options{}) }
+
+// Guards against an agent that takes the report of another VM's runner for its own runner's
+// successor, and has all tasks of its own runner started again while they run.
+func TestSoak_ReportReachesAnotherAgent(t *testing.T) {
+	runSeeds(t, []int64{300, 303, 306, 311}, options{reportsFallBack: true})
+}
+
+// runSeeds runs the regression seeds and those that the flags name.
+func runSeeds(t *testing.T, regressions []int64, o options) {
 	reserveAddressBlock(t)
 	all := append([]int64(nil), regressions...)
 	for i := range *seeds {
@@ -84,14 +100,14 @@
 				t.Parallel()
 				slot := <-slots
 				t.Cleanup(func() { slots <- slot })
-				soak(t, seed, slot)
+				soak(t, seed, slot, o)
 			})
 		}
 	})
 }
 
-func soak(t *testing.T, seed int64, slot int) {
-	cl := newCluster(t, seed, slot, *entries, *agents)
+func soak(t *testing.T, seed int64, slot int, o options) {
+	cl := newCluster(t, seed, slot, *entries, *agents, o)
 	c := &callers{cluster: cl, client: &http.Client{Transport: &http.Transport{}}}
 	schedule := cl.newSchedule(*faults, faultWindow)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -44,6 +44,13 @@
 	restartDelay   = 200 * time.Millisecond
 )
 
+const (
+	// reportTimeout is how long a runner waits for an agent to acknowledge a report.
+	reportTimeout = time.Second
+	// fallbackCalls is the number of other agents that a runner calls with one report.
+	fallbackCalls = 2
+)
+
 var config = fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":%q,"pathPrefix":%q,"service":%q,
 	"maxAttempts":%d,"stretch":2,"sloMs":1000}],"services":[{"name":%q,"admissionCheck":false}],
 	"limits":{"maxBodyBytes":100000}}`, host, prefix, service, maxAttempts, service)
@@ -71,6 +78,7 @@
 type cluster struct {
 	t       *testing.T
 	seed    int64
+	options options
 	dir     string
 	store   *platformtest.Store
 	entries []*process
@@ -78,6 +86,8 @@
 	runners []*platformtest.Runner
 	history history
 	jobs    *workload
+	// controls holds the address of each agent for the reports of runners.
+	controls []string
 }
 
 // Loopback addresses are 127.BLOCK.SLOT.i. Each run of the tests has its own block, so that
@@ -104,10 +114,13 @@
 
 func address(slot, i int) string { return fmt.Sprintf("127.%d.%d.%d", addressBlock, slot, i) }
 
-func newCluster(t *testing.T, seed int64, slot, entries, agents int) *cluster {
-	cl := &cluster{t: t, seed: seed, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
+func newCluster(t *testing.T, seed int64, slot, entries, agents int, o options) *cluster {
+	cl := &cluster{t: t, seed: seed, options: o, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
 	storeAddress := cl.serve(net.JoinHostPort(address(slot, 1), "18169"), cl.store)
 	cl.store.WriteOperator("config", []byte(config))
+	for i := range agents {
+		cl.controls = append(cl.controls, net.JoinHostPort(address(slot, 100+i), controlPort))
+	}
 	for i := range agents {
 		ip := address(slot, 100+i)
 		r := &platformtest.Runner{
@@ -122,7 +135,7 @@
 		p.settings += fmt.Sprintf("app = %q\n", runnerProxy.Address())
 		p.settings = p.settings + cl.settingsTables(ip, p.proxies[0].Address())
 		cl.agents = append(cl.agents, p)
-		go cl.sendReports(r, net.JoinHostPort(ip, controlPort), runnerProxy.Address())
+		go cl.sendReports(r, i, runnerProxy.Address())
 	}
 	for i := range entries {
 		ip := address(slot, 10+i)
@@ -179,15 +192,33 @@
 	return ln.Addr().String()
 }
 
-// sendReports sends a runner's reports to its agent until the test ends.
-func (cl *cluster) sendReports(r *platformtest.Runner, agent, runnerAddress string) {
+// sendReports sends a runner's reports until the test ends: to the agent of its own VM, and, with
+// reportsFallBack, to other agents in turn until one acknowledges the report.
+func (cl *cluster) sendReports(r *platformtest.Runner, agent int, runnerAddress string) {
+	next := agent
 	for tick := time.NewTicker(reportInterval); cl.t.Context().Err() == nil; <-tick.C {
-		ctx, cancel := context.WithTimeout(cl.t.Context(), time.Second)
-		_ = r.Report(ctx, agent, runnerAddress, false) // the agent may be down; the next report follows
-		cancel()
+		acknowledged := cl.sendReport(r, agent, runnerAddress)
+		if acknowledged || !cl.options.reportsFallBack {
+			continue // without fallback, the next report follows
+		}
+		for range fallbackCalls {
+			if next = (next + 1) % len(cl.controls); next == agent {
+				next = (next + 1) % len(cl.controls)
+			}
+			if cl.sendReport(r, next, runnerAddress) {
+				break
+			}
+		}
 	}
 }
 
+// sendReport reports whether the agent acknowledged the report in time.
+func (cl *cluster) sendReport(r *platformtest.Runner, agent int, runnerAddress string) bool {
+	ctx, cancel := context.WithTimeout(cl.t.Context(), reportTimeout)
+	defer cancel()
+	return r.Report(ctx, cl.controls[agent], runnerAddress, false) == nil
+}
+
 func (p *process) settingsPath() string { return filepath.Join(p.cluster.dir, p.name+".toml") }
 
 // start starts the process. The caller holds mu, except before the faults begin.
