soak: VMs are added, and removed for good, during a run

TestSoak_Membership is for what the soak does beyond the faults of TestSoak. The first is membership: two VMs with runner and agent start during the run, and one is removed, runner and agent together; the runner's incarnation ends with the VM, and with it all its runs.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 	entries   = flag.Int("soak.entries", 3, "number of entries in each deployment")
 	agents    = flag.Int("soak.agents", 4, "number of agents in each deployment")
 	faults    = flag.Int("soak.faults", 14, "number of faults injected in each run")
+	kinds     = flag.String("soak.kinds", "", "comma-separated options of TestSoak_Membership, instead of all")
 	keep      = flag.String("soak.keep", "", "folder in which to keep the process logs of failed runs")
 )
 
@@ -66,19 +68,22 @@
 	216, // an acknowledgement reached a runner's next incarnation, as in 113, after a failed renewal
 }
 
-// options are what the runs of a test do besides the faults that all tests share. What they add
-// has random numbers of its own, so that a seed has the same schedule with any options.
-type options struct {
-	// reportsFallBack makes runners call other agents when their own does not acknowledge a report.
-	reportsFallBack bool
-}
-
-func TestSoak(t *testing.T) { runSeeds(t, regressions, options{}) }
+func TestSoak(t *testing.T) { runSeeds(t, regressions, nil) }
 
 // Guards against an agent that takes the report of another VM's runner for its own runner's
 // successor, and has all tasks of its own runner started again while they run.
 func TestSoak_ReportReachesAnotherAgent(t *testing.T) {
-	runSeeds(t, []int64{300, 303, 306, 311}, options{reportsFallBack: true})
+	runSeeds(t, []int64{300, 303, 306, 311}, options{fallback})
+}
+
+// Guards against an agent that drops runs which go on: their lease has neither ended nor is their
+// runner's VM gone.
+func TestSoak_Membership(t *testing.T) {
+	chosen := options{fallback, membership}
+	if *kinds != "" {
+		chosen = strings.Split(*kinds, ",")
+	}
+	runSeeds(t, []int64{400, 401, 402}, chosen)
 }
 
 // runSeeds runs the regression seeds and those that the flags name.
@@ -109,7 +114,7 @@
 func soak(t *testing.T, seed int64, slot int, o options) {
 	cl := newCluster(t, seed, slot, *entries, *agents, o)
 	c := &callers{cluster: cl, client: &http.Client{Transport: &http.Transport{}}}
-	schedule := cl.newSchedule(*faults, faultWindow)
+	schedule := append(cl.newSchedule(*faults, faultWindow), cl.optionalFaults(faultWindow)...)
 	ctx, cancel := context.WithCancel(t.Context())
 	settings := newSettingsCheck(cl)
 	var load sync.WaitGroup
@@ -188,7 +193,7 @@
 			problems = append(problems, fmt.Sprintf("the state of %s is %q", s.id, state))
 		}
 	}
-	if len(problems) == 0 && active < min(requested, len(cl.runners)*runnerCPU/taskCPU) {
+	if len(problems) == 0 && active < min(requested, cl.presentVMs()*runnerCPU/taskCPU) {
 		problems = append(problems, fmt.Sprintf("%d tasks are running, %d long-running tasks were requested", active, requested))
 	}
 	return problems
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -44,13 +43,6 @@
 	restartDelay   = 200 * time.Millisecond
 )
 
-const (
-	// reportTimeout is how long a runner waits for an agent to acknowledge a report.
-	reportTimeout = time.Second
-	// fallbackCalls is the number of other agents that a runner calls with one report.
-	fallbackCalls = 2
-)
-
 var config = fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":%q,"pathPrefix":%q,"service":%q,
 	"maxAttempts":%d,"stretch":2,"sloMs":1000}],"services":[{"name":%q,"admissionCheck":false}],
 	"limits":{"maxBodyBytes":100000}}`, host, prefix, service, maxAttempts, service)
@@ -69,9 +61,10 @@
 
 	mu  sync.Mutex // serializes the faults that stop or start the process
 	cmd *exec.Cmd
-	// ended is closed when cmd has exited. stopping is set if the test stopped it.
-	ended    chan struct{}
-	stopping bool
+	// ended is closed when cmd has exited. stopping is set if the test stopped it, removed if it is
+	// never started again.
+	ended             chan struct{}
+	stopping, removed bool
 }
 
 // cluster is a deployment of separate processes against stand-ins of the platform.
@@ -80,14 +73,20 @@
 	seed    int64
 	options options
 	dir     string
+	slot    int
 	store   *platformtest.Store
-	entries []*process
-	agents  []*process
-	runners []*platformtest.Runner
-	history history
-	jobs    *workload
+	// storeAddress is the store's address for agents.
+	storeAddress string
+	entries      []*process
+	history      history
+	jobs         *workload
 	// controls holds the address of each agent for the reports of runners.
 	controls []string
+
+	mu      sync.Mutex // guards what changes when VMs and runners come and go
+	vms     []*vm
+	agents  []*process
+	runners []*platformtest.Runner // all that ever ran
 }
 
 // Loopback addresses are 127.BLOCK.SLOT.i. Each run of the tests has its own block, so that
@@ -115,27 +114,14 @@
 func address(slot, i int) string { return fmt.Sprintf("127.%d.%d.%d", addressBlock, slot, i) }
 
 func newCluster(t *testing.T, seed int64, slot, entries, agents int, o options) *cluster {
-	cl := &cluster{t: t, seed: seed, options: o, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
-	storeAddress := cl.serve(net.JoinHostPort(address(slot, 1), "18169"), cl.store)
+	cl := &cluster{t: t, seed: seed, options: o, slot: slot, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
+	cl.storeAddress = cl.serve(net.JoinHostPort(address(slot, 1), "18169"), cl.store)
 	cl.store.WriteOperator("config", []byte(config))
-	for i := range agents {
+	for i := range agents + addedVMs(o) {
 		cl.controls = append(cl.controls, net.JoinHostPort(address(slot, 100+i), controlPort))
 	}
 	for i := range agents {
-		ip := address(slot, 100+i)
-		r := &platformtest.Runner{
-			ID: "i-" + ip, Service: service, Zone: "z1", Labels: []string{"a", "r1"}, CPU: runnerCPU, MemoryMB: runnerMemory,
-			MaxLease: maxLease, Duration: cl.jobs.runResult, Observe: cl.history.add,
-		}
-		r.Reset()
-		cl.runners = append(cl.runners, r)
-		runnerProxy := cl.newProxy(cl.serve(net.JoinHostPort(ip, "18165"), r))
-		p := cl.newProcess("agent", ip, storeAddress)
-		p.proxies = append(p.proxies, runnerProxy)
-		p.settings += fmt.Sprintf("app = %q\n", runnerProxy.Address())
-		p.settings = p.settings + cl.settingsTables(ip, p.proxies[0].Address())
-		cl.agents = append(cl.agents, p)
-		go cl.sendReports(r, i, runnerProxy.Address())
+		cl.addVM(i)
 	}
 	for i := range entries {
 		ip := address(slot, 10+i)
@@ -192,37 +178,13 @@
 	return ln.Addr().String()
 }
 
-// sendReports sends a runner's reports until the test ends: to the agent of its own VM, and, with
-// reportsFallBack, to other agents in turn until one acknowledges the report.
-func (cl *cluster) sendReports(r *platformtest.Runner, agent int, runnerAddress string) {
-	next := agent
-	for tick := time.NewTicker(reportInterval); cl.t.Context().Err() == nil; <-tick.C {
-		acknowledged := cl.sendReport(r, agent, runnerAddress)
-		if acknowledged || !cl.options.reportsFallBack {
-			continue // without fallback, the next report follows
-		}
-		for range fallbackCalls {
-			if next = (next + 1) % len(cl.controls); next == agent {
-				next = (next + 1) % len(cl.controls)
-			}
-			if cl.sendReport(r, next, runnerAddress) {
-				break
-			}
-		}
-	}
-}
-
-// sendReport reports whether the agent acknowledged the report in time.
-func (cl *cluster) sendReport(r *platformtest.Runner, agent int, runnerAddress string) bool {
-	ctx, cancel := context.WithTimeout(cl.t.Context(), reportTimeout)
-	defer cancel()
-	return r.Report(ctx, cl.controls[agent], runnerAddress, false) == nil
-}
-
 func (p *process) settingsPath() string { return filepath.Join(p.cluster.dir, p.name+".toml") }
 
 // start starts the process. The caller holds mu, except before the faults begin.
 func (p *process) start() {
+	if p.removed {
+		return
+	}
 	must.NoError(p.cluster.t, os.WriteFile(p.settingsPath(), []byte(p.settings), 0o600))
 	cmd := exec.Command(os.Args[0], "platform", p.role)
 	cmd.Env = append(os.Environ(), runAs+"=bamboowoodd", "BAMBOOWOOD_SETTINGS="+p.settingsPath())
@@ -273,6 +235,14 @@
 	p.signalAndWait(os.Kill, time.Hour)
 }
 
+// remove kills the process for good.
+func (p *process) remove() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removed = true
+	p.signalAndWait(os.Kill, time.Hour)
+}
+
 // killFor kills the process and restarts it after d.
 func (p *process) killFor(d time.Duration) {
 	p.mu.Lock()
