soak: a runner starts under a new id while the process it replaces lives

The new runner serves the address, so calls for the old id are answered 421 by it; the old one answers and reports nothing any more, and its runs go on until they end or its lease expires. The invariants see them.

The agents log "runner restarted or replaced" and have all runs of the old one started again.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -150,6 +150,7 @@
 const (
 	fallback   = "fallback"   // runners call other agents when theirs does not acknowledge a report
 	membership = "membership" // VMs are added, and removed for good
+	newID      = "new-id"     // a runner starts under a new id while the process it replaces lives
 
 )
 
@@ -171,6 +172,7 @@
 		fault func(r *rand.Rand, v *vm) (description string, run func())
 	}{
 		{membership, 1, func(_ *rand.Rand, v *vm) (string, func()) { return "remove the VM " + v.ip, v.remove }},
+		{newID, 2, func(_ *rand.Rand, v *vm) (string, func()) { return "new runner id on " + v.ip, v.startRunner }},
 	} {
 		if !cl.options.has(option.name) {
 			continue
