soak: runners are paused

A paused runner answers nothing and sends no report for 1 to 9 s, while its clock and its runs go on and its lease may expire. Calls that arrive meanwhile are executed afterwards, even if their callers have given up.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -148,9 +148,10 @@
 type options []string
 
 const (
-	fallback   = "fallback"   // runners call other agents when theirs does not acknowledge a report
-	membership = "membership" // VMs are added, and removed for good
-	newID      = "new-id"     // a runner starts under a new id while the process it replaces lives
+	fallback     = "fallback"   // runners call other agents when theirs does not acknowledge a report
+	membership   = "membership" // VMs are added, and removed for good
+	newID        = "new-id"     // a runner starts under a new id while the process it replaces lives
+	pausedRunner = "pause"      // runners are paused
 
 )
 
@@ -173,6 +174,10 @@
 	}{
 		{membership, 1, func(_ *rand.Rand, v *vm) (string, func()) { return "remove the VM " + v.ip, v.remove }},
 		{newID, 2, func(_ *rand.Rand, v *vm) (string, func()) { return "new runner id on " + v.ip, v.startRunner }},
+		{pausedRunner, 2, func(r *rand.Rand, v *vm) (string, func()) {
+			d := randomDuration(r, time.Second, 9*time.Second)
+			return fmt.Sprintf("pause the runner of %s for %s", v.ip, d), func() { v.current().Pause(d) }
+		}},
 	} {
 		if !cl.options.has(option.name) {
 			continue
