soak: clocks of runners are up to 2% slow

Lease time is measured on the runner's own steady clock, which may be 2% slow (PROTOCOL). Each runner draws its rate, from 0.98 to 1.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -18,6 +18,8 @@
 	reportTimeout = time.Second
 	// fallbackCalls is the number of other agents that a runner calls with one report.
 	fallbackCalls = 2
+	// maxSlowdown is how much slower than the time the clock of a runner may be.
+	maxSlowdown = 0.02
 )
 
 // vm is a machine with a runner and its agent.
@@ -29,6 +31,7 @@
 	proxy   *platformtest.Proxy // carries the calls to the runner
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	runner  *platformtest.Runner // the one that serves the runner's address
 	runners []*platformtest.Runner
 	removed bool
@@ -37,7 +40,7 @@
 // addVM adds a VM. Its agent is not started.
 func (cl *cluster) addVM(number int) *vm {
 	ip := address(cl.slot, 100+number)
-	v := &vm{cluster: cl, number: number, ip: ip}
+	v := &vm{cluster: cl, number: number, ip: ip, random: rand.New(rand.NewPCG(uint64(cl.seed), uint64(200+number)))}
 	v.startRunner()
 	v.proxy = cl.newProxy(cl.serve(net.JoinHostPort(ip, "18165"), v))
 	p := cl.newProcess("agent", ip, cl.storeAddress)
@@ -68,6 +71,9 @@
 		r.ID += fmt.Sprintf("-%d", len(v.runners))
 		v.runner.Detach()
 	}
+	if cl.options.has(slowClock) {
+		r.ClockRate = 1 - maxSlowdown*v.random.Float64()
+	}
 	r.Reset()
 	v.runner, v.runners = r, append(v.runners, r)
 	cl.mu.Lock()
@@ -152,6 +158,7 @@
 	membership   = "membership" // VMs are added, and removed for good
 	newID        = "new-id"     // a runner starts under a new id while the process it replaces lives
 	pausedRunner = "pause"      // runners are paused
+	slowClock    = "slow-clock" // runners have slow clocks
 
 )
 
