soak: runners' addresses refuse connections while they live

For 0.2 to 3 s the proxy in front of a runner resets its connections and does not listen, then listens at the same port again. The runner, its runs and its reports go on.

The agents log "runner process exited" 300 ms after the first refusal, and have all its runs started again.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -154,11 +154,12 @@
 type options []string
 
 const (
-	fallback     = "fallback"   // runners call other agents when theirs does not acknowledge a report
-	membership   = "membership" // VMs are added, and removed for good
-	newID        = "new-id"     // a runner starts under a new id while the process it replaces lives
-	pausedRunner = "pause"      // runners are paused
-	slowClock    = "slow-clock" // runners have slow clocks
+	fallback      = "fallback"   // runners call other agents when theirs does not acknowledge a report
+	membership    = "membership" // VMs are added, and removed for good
+	newID         = "new-id"     // a runner starts under a new id while the process it replaces lives
+	pausedRunner  = "pause"      // runners are paused
+	slowClock     = "slow-clock" // runners have slow clocks
+	refusedRunner = "refuse"     // runners' addresses refuse connections while they live
 
 )
 
@@ -185,6 +186,14 @@
 			d := randomDuration(r, time.Second, 9*time.Second)
 			return fmt.Sprintf("pause the runner of %s for %s", v.ip, d), func() { v.current().Pause(d) }
 		}},
+		{refusedRunner, 3, func(r *rand.Rand, v *vm) (string, func()) {
+			d := randomDuration(r, 200*time.Millisecond, 3*time.Second)
+			return fmt.Sprintf("the runner's address of %s refuses connections for %s", v.ip, d), func() {
+				if err := v.proxy.Refuse(d); err != nil {
+					cl.history.failf("the proxy of a runner: %v", err)
+				}
+			}
+		}},
 	} {
 		if !cl.options.has(option.name) {
 			continue
