planner: keep what an earlier leader opened of scheduled jobs

An occurrence counted as opened only when the leader's own wall clock had reached its due time, and stored progress was applied only to occurrences opened in AddJob. A leader whose clock is behind its predecessor's therefore - opened occurrences later without their stored progress, started done tasks again and stored less progress than there was; - stopped the runs that agents listed of such an occurrence; - ignored the ends of such runs, which were then acknowledged and lost.

A clock does not prove that an occurrence has not begun. Occurrences that have stored progress, and those of which an agent reports a run or an end, are now open whatever the clock says.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -150,6 +150,7 @@
 		p.applyActivity(now, r, act)
 		return
 	}
+	p.openReported(now, act.Run.Task)
 	s, t := p.findTask(act.Run.Task)
 	if s != nil && !t.done && t.liveRun == nil && !s.job.state.Terminal() {
 		r := p.addRun(now, a, s, t, act.Run)
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -46,6 +46,7 @@
 			r.task.avoidAgent = a
 		}
 	}
+	p.openReported(now, e.Run.Task)
 	s, t := p.findTask(e.Run.Task)
 	if s == nil || s.job.state.Terminal() {
 		return
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -19,13 +19,17 @@
 	modelGrant = 7 * time.Second
 	modelSlack = 300 * time.Millisecond
 	modelTick  = 500 * time.Millisecond
+	// modelSkew bounds the difference between a leader's wall clock and the true time.
+	modelSkew = 5 * time.Second
 )
 
 // model simulates runners, the ledger and a succession of planners. The runners determine
 // which runs are alive.
 type model struct {
-	t      *rapid.T
-	now    time.Duration
+	t   *rapid.T
+	now time.Duration
+	// skew is how far the wall clock of the current leader is ahead.
+	skew   time.Duration
 	term   int64
 	p      *Planner
 	jobs   []*job.Job
@@ -47,7 +51,14 @@
 }
 
 func (m *model) instant() Instant {
-	return Instant{Mono: m.now, Wall: time.Unix(1_000_000, 0).Add(m.now)}
+	return Instant{Mono: m.now, Wall: m.trueTime().Add(m.skew)}
+}
+
+func (m *model) trueTime() time.Time { return time.Unix(1_000_000, 0).Add(m.now) }
+
+func (m *model) drawSkew() {
+	ticks := int(modelSkew / modelTick)
+	m.skew = time.Duration(rapid.IntRange(-ticks, ticks).Draw(m.t, "skew")) * modelTick
 }
 
 func (m *model) anyAgent() (string, *modelAgent) {
@@ -104,10 +115,17 @@
 		if m.storedAsDone[o.Run.Task] {
 			m.t.Fatalf("start of %v though its end as done was stored", o.Run)
 		}
+		if early := m.job(o.Run.Task.Job).Due(o.Run.Task.Occurrence).Sub(m.trueTime()); early > modelSkew {
+			m.t.Fatalf("start of %v %v before it is due", o.Run, early)
+		}
 		a.liveRuns[o.Run] = true
 	}
 }
 
+func (m *model) job(id string) *job.Job {
+	return m.jobs[slices.IndexFunc(m.jobs, func(j *job.Job) bool { return j.ID == id })]
+}
+
 func (m *model) connect(id string) {
 	a := m.agents[id]
 	for _, e := range a.ends {
@@ -131,6 +149,7 @@
 // takeOver replaces the planner with one that has only the ledger's contents.
 func (m *model) takeOver() {
 	m.term++
+	m.drawSkew()
 	m.p = New(Options{Term: m.term, EndedRetention: time.Hour, RemoteFactor: 1.5})
 	for id, a := range m.agents {
 		a.connected = false
@@ -145,6 +164,7 @@
 // stored.
 func (m *model) commit() {
 	for _, c := range m.p.TakeChanges(1000) {
+		m.checkProgressGrows(m.ledger[c.Job], c)
 		m.ledger[c.Job] = c.Progress
 		m.p.ChangeCommitted(m.now, c)
 		if c.Progress.State == job.Completed {
@@ -165,17 +185,50 @@
 }
 
 func (m *model) checkCompleted(id string) {
-	for _, j := range m.jobs {
-		for s := range j.Steps {
-			for i := range j.Steps[s].Tasks {
-				if task := (job.Task{Job: j.ID, Step: s, Index: i}); j.ID == id && !m.done[task] {
-					m.t.Fatalf("job is shown as completed although %v has not ended", task)
-				}
+	j := m.job(id)
+	for k := range j.OccurrenceCount() {
+		for _, task := range occurrenceTasks(j, k) {
+			if !m.done[task] {
+				m.t.Fatalf("job is shown as completed although %v has not ended", task)
+			}
+		}
+	}
+}
+
+func occurrenceTasks(j *job.Job, k int) []job.Task {
+	var tasks []job.Task
+	for s := range j.Steps {
+		for i := range j.Steps[s].Tasks {
+			tasks = append(tasks, job.Task{Job: j.ID, Occurrence: k, Step: s, Index: i})
+		}
+	}
+	return tasks
+}
+
+// checkProgressGrows checks that no task that is done in the stored progress is missing in the
+// progress that replaces it.
+func (m *model) checkProgressGrows(stored *Progress, c Change) {
+	if stored == nil || c.Progress.State.Terminal() {
+		return
+	}
+	j := m.job(c.Job)
+	for k := range j.OccurrenceCount() {
+		for _, task := range occurrenceTasks(j, k) {
+			if stored.taskDone(task) && !c.Progress.taskDone(task) {
+				m.t.Fatalf("stored progress of %v is lost", task)
 			}
 		}
 	}
 }
 
+func (pr *Progress) taskDone(t job.Task) bool {
+	if pr.occurrenceDone(t.Occurrence) {
+		return true
+	}
+	o := pr.Open[t.Occurrence]
+	return o != nil && t.Step < len(o.Done) && bit(o.Done[t.Step], t.Index)
+}
+
 func (m *model) finish(reason job.EndReason) {
 	id, a := m.anyAgent()
 	for _, run := range slices.SortedFunc(maps.Keys(a.liveRuns), func(x, y job.Run) int {
@@ -199,9 +252,9 @@
 	}
 }
 
-// Agents are lost, leases expire and planners are replaced at random. No task may have two
-// live runs or start after its end was stored, and once the faults cease all jobs must
-// complete.
+// Agents are lost, leases expire and planners, whose wall clocks differ, are replaced at random.
+// No task may have two live runs, start after its end was stored or long before it is due,
+// stored progress must not shrink, and once the faults cease all jobs must complete.
 func TestModel_TakeoverAndLostAgents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
@@ -214,9 +267,13 @@
 		m.takeOver()
 		m.reconnectAll()
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": func(*rapid.T) {
+			"submit": func(t *rapid.T) {
 				if len(m.jobs) < 20 {
 					j := testJob(len(m.jobs), step(3), step(2, 0))
+					if rapid.Bool().Draw(t, "scheduled") {
+						j.Occurrences, j.Interval = 3, 2*time.Second
+						j.Start = m.trueTime().Add(time.Second)
+					}
 					j.Queue.MaxAttempts = 1000
 					j.AcceptedAt = m.instant().Wall
 					m.jobs = append(m.jobs, j)
@@ -241,7 +298,8 @@
 					m.plan()
 				}
 			},
-			"take over": func(*rapid.T) { m.takeOver() },
+			"take over":  func(*rapid.T) { m.takeOver() },
+			"clock step": func(*rapid.T) { m.drawSkew() },
 		})
 		m.finishAll()
 	})
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -39,10 +39,11 @@
 // Plan returns the orders that follow from all events so far. mayStart must be false while
 // this planner's leadership is uncertain; Starts and AdviceRequests are empty then.
 func (p *Planner) Plan(now Instant, mayStart bool) Orders {
+	p.lastInstant = now
 	p.expireLeases(now.Mono)
 	for js := range p.scheduled {
 		p.currentJob = js.job.ID
-		p.openDueOccurrences(now, js, nil)
+		p.openOccurrences(now, js, nil, 0)
 		if js.opened == js.job.OccurrenceCount() {
 			delete(p.scheduled, js)
 			p.completeIfDone(now.Mono, js)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,8 @@
 	quarantined map[string]bool
 	// currentJob is the id of the job being processed, empty if none.
 	currentJob string
+	// lastInstant is the last time that was passed to AddJob or Plan.
+	lastInstant Instant
 }
 
 // Stats count decisions since the planner was created.
@@ -129,8 +131,9 @@
 	started    bool
 	acceptedAt time.Duration
 	durations  durations
-	// opened is the number of occurrences that were opened; open holds those that are
-	// not done.
+	// opened is the number of occurrences that were opened, in order; open holds those that
+	// are not done. An occurrence is opened when it is due by this process's wall clock, or
+	// when the ledger or an agent shows that an earlier leader opened it.
 	opened int
 	open   map[int]*occurrence
 	// liveRuns counts the job's live runs.
@@ -216,6 +219,7 @@
 // job. recovered means that an earlier planner may have started it. A job that was
 // added before is left unchanged.
 func (p *Planner) AddJob(now Instant, j *job.Job, progress *Progress, recovered bool) {
+	p.lastInstant = now
 	if p.HasJob(j.ID) {
 		return
 	}
@@ -233,19 +237,31 @@
 			return
 		}
 	}
-	p.openDueOccurrences(now, js, progress)
+	p.openOccurrences(now, js, progress, progress.openedOccurrences())
 	if js.opened < j.OccurrenceCount() {
 		p.scheduled[js] = struct{}{}
 	}
 	p.completeIfDone(now.Mono, js)
 }
 
-// openDueOccurrences opens the occurrences that are due, or will be within EarlyStart/2.
-func (p *Planner) openDueOccurrences(now Instant, js *jobState, progress *Progress) {
+// openReported opens the occurrence of a task of which an agent has reported a run or an end,
+// and all before it: an earlier leader has opened them.
+func (p *Planner) openReported(now time.Duration, t job.Task) {
+	js := p.jobs[t.Job]
+	if js == nil || js.state.Terminal() || t.Occurrence < js.opened || t.Occurrence >= js.job.OccurrenceCount() {
+		return
+	}
+	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
+	p.openOccurrences(Instant{Mono: now, Wall: wall}, js, nil, t.Occurrence+1)
+}
+
+// openOccurrences opens the first atLeast occurrences, and those that are due or will be
+// within EarlyStart/2. progress is that of the occurrences that have not been opened yet.
+func (p *Planner) openOccurrences(now Instant, js *jobState, progress *Progress, atLeast int) {
 	for js.opened < js.job.OccurrenceCount() {
 		k := js.opened
 		due := js.job.Due(k)
-		if js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
+		if k >= atLeast && js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
 			return
 		}
 		js.opened++
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -19,6 +19,8 @@
 	*Planner
 	t   *testing.T
 	now time.Duration
+	// behind is how far the wall clock is behind the true time.
+	behind time.Duration
 	// ends holds the sequence number of the last end of each agent.
 	ends map[string]int64
 }
@@ -40,7 +42,7 @@
 }
 
 func (f *fixture) instant() Instant {
-	return Instant{Mono: f.now, Wall: time.Unix(1_000_000, 0).Add(f.now)}
+	return Instant{Mono: f.now, Wall: time.Unix(1_000_000, 0).Add(f.now - f.behind)}
 }
 
 func (f *fixture) agent(id string, active ...job.Activity) {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -37,6 +37,18 @@
 	return k < pr.DoneBefore || pr.Open[k] != nil && pr.Open[k].Complete
 }
 
+// openedOccurrences returns the number of leading occurrences that have certainly been opened.
+func (pr *Progress) openedOccurrences() int {
+	if pr == nil {
+		return 0
+	}
+	n := pr.DoneBefore
+	for k := range pr.Open {
+		n = max(n, k+1)
+	}
+	return n
+}
+
 // restore sets a step to its stored progress.
 func (pr *Progress) restore(s *stepState, k int) {
 	if pr == nil || pr.Open[k] == nil {
