leader, ledger: take over only from an unrenewed term

An entry began the next term if the term's row was unchanged, though the leader may have renewed the term since the entry last read the renewal. The answer of a read proves nothing about later: a leader that was suspended or cut off, or any leader after an outage of the store of over 2.2 s, renews at the same moment at which the other entries find its renewal old. An answer that is processed late (a suspended entry) is old evidence as well. Two leaders are then entitled to order starts for up to 1.8 s. A job accepted in that time is started by both, since the new leader waits for the reports of all agents only for jobs that it found in the ledger.

The write that begins the term now also expects the version of the renewal that was found unchanged.

The test on the code before, where the next term began in the same millisecond as the renewal:

--- FAIL: TestLeader_RenewalJustBeforeTakeover (2.71s) leadership_test.go:218: expected 0s > 1.8s

After: passes; internal/leader and internal/ledger pass with -race. Not shown by a run: how often this occurs in a deployment.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -128,15 +128,16 @@
 		return err
 	}
 	l.observe(term)
+	renewal := ledger.NoLeader
 	if !l.leaderless(term) {
-		expired, err := l.watch(ctx, term, version)
-		if err != nil || !expired {
+		var expired bool
+		if renewal, expired, err = l.watch(ctx, term, version); err != nil || !expired {
 			return err
 		}
 	}
 	sent := l.opts.Now()
-	held, err := l.opts.Ledger.BeginTerm(ctx, term, l.opts.Address, fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed))
-	if errors.Is(err, ledger.ErrDeposed) {
+	held, err := l.opts.Ledger.BeginTerm(ctx, term, renewal, l.opts.Address, fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed))
+	if errors.Is(err, ledger.ErrDeposed) || errors.Is(err, ledger.ErrRenewed) {
 		return nil
 	}
 	if err != nil {
@@ -193,26 +194,27 @@
 	}
 }
 
-// watch returns true once the term's renewal has been unchanged for takeoverAfter, and
-// false when the term has changed.
-func (l *Leader) watch(ctx context.Context, term ledger.Term, version int64) (bool, error) {
+// watch returns true once the version of the term's renewal has been unchanged for
+// takeoverAfter, and false when the term has changed. The leader may renew the term until the
+// next one begins, so the call that begins it must expect the returned version.
+func (l *Leader) watch(ctx context.Context, term ledger.Term, version int64) (renewal int64, expired bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changed := make(chan error, 1)
 	go func() { changed <- l.awaitTermChange(ctx, term, version) }()
-	var lastRenewal int64
+	lastRenewal := ledger.NoLeader
 	var unchangedSince time.Duration
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return 0, false, ctx.Err()
 		case err := <-changed:
-			return false, err
+			return 0, false, err
 		case <-ticker.C:
 		}
-		renewal, err := l.opts.Ledger.RenewalVersion(ctx)
+		renewal, err = l.opts.Ledger.RenewalVersion(ctx)
 		switch now := l.opts.Now(); {
 		case err != nil:
 			l.opts.Logger.WithError(err).Warn("renewal read failed")
@@ -222,7 +224,7 @@
 			l.opts.Logger.WithFields(log.Fields{
 				"renewal": renewal, "age": (now - unchangedSince).String(),
 			}).Warn("leader stopped renewing its term")
-			return true, nil
+			return renewal, true, nil
 		}
 	}
 }
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -161,7 +161,7 @@
 func TestLeader_ResumedTermIsRenewedFirst(t *testing.T) {
 	hooked, _ := newHookedStore(t)
 	jobLedger := newLedger(hooked)
-	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, "10.0.0.1:1", "p1/0")
+	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
 	must.NoError(t, err)
 	allowed := make(chan struct{})
 	hooked.onApply = func(tx store.Tx) error {
@@ -187,6 +187,37 @@
 	a.await(t, hasGrant)
 }
 
+// A leader that was cut off from the store renews its term just before another entry takes over.
+// Its renewal entitles it to order starts, so the other entry must not begin the next term
+// within startValidity.
+func TestLeader_RenewalJustBeforeTakeover(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	unhooked := *hooked
+	old, err := newLedger(&unhooked).BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.2:1", "p2/0")
+	must.NoError(t, err)
+	var mu sync.Mutex
+	var renewed, began time.Duration
+	hooked.onApply = func(tx store.Tx) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if !writesTerm(tx) {
+			return nil
+		}
+		began = boottime.Now()
+		if renewed != 0 {
+			return nil
+		}
+		renewed = began
+		return old.Renew(t.Context())
+	}
+	l, _ := runLeader(t, newLedger(hooked))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return l.term.Load().Number == 2 }),
+		wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
+	mu.Lock()
+	defer mu.Unlock()
+	test.Greater(t, startValidity, began-renewed)
+}
+
 // Reading the ledger takes longer than takeoverAfter. Meanwhile the term is renewed, agents get
 // leases, and no run is stopped because its job has not been read.
 func TestPattern_LongLoad(t *testing.T) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -33,7 +33,7 @@
 func beginTerm(t *testing.T, l *ledger.Ledger, process string) *ledger.HeldTerm {
 	current, _, err := l.CurrentTerm(t.Context())
 	must.NoError(t, err)
-	held, err := l.BeginTerm(t.Context(), current, "10.0.0.1:1", process)
+	held, err := l.BeginTerm(t.Context(), current, ledger.NoLeader, "10.0.0.1:1", process)
 	must.NoError(t, err)
 	return held
 }
@@ -100,19 +100,38 @@
 	l, _ := newLedger(t)
 	current, _, err := l.CurrentTerm(t.Context())
 	must.NoError(t, err)
-	_, err = l.BeginTerm(t.Context(), current, "10.0.0.1:1", "p1")
+	_, err = l.BeginTerm(t.Context(), current, ledger.NoLeader, "10.0.0.1:1", "p1")
 	must.NoError(t, err)
-	_, err = l.BeginTerm(t.Context(), current, "10.0.0.2:1", "p2")
+	_, err = l.BeginTerm(t.Context(), current, ledger.NoLeader, "10.0.0.2:1", "p2")
 	test.ErrorIs(t, err, ledger.ErrDeposed)
 }
 
+// A process must not begin the next term if the leader has renewed its term since that process
+// read the renewal.
+func TestBeginTerm_RenewedMeanwhile(t *testing.T) {
+	l, _ := newLedger(t)
+	old := beginTerm(t, l, "p1")
+	current, _, err := l.CurrentTerm(t.Context())
+	must.NoError(t, err)
+	renewal, err := l.RenewalVersion(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, old.Renew(t.Context()))
+	_, err = l.BeginTerm(t.Context(), current, renewal, "10.0.0.2:1", "p2")
+	must.ErrorIs(t, err, ledger.ErrRenewed)
+	test.NoError(t, old.Renew(t.Context()))
+	renewal, err = l.RenewalVersion(t.Context())
+	must.NoError(t, err)
+	_, err = l.BeginTerm(t.Context(), current, renewal, "10.0.0.2:1", "p2")
+	test.NoError(t, err)
+}
+
 // The store begins the term but its answer is lost. The process that began the term resumes it.
 func TestBeginTerm_LostAnswer(t *testing.T) {
 	l, standin := newLedger(t)
 	standin.SetFault(platformtest.Lost)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	_, err := l.BeginTerm(ctx, ledger.Term{}, "10.0.0.1:1", "p1")
+	_, err := l.BeginTerm(ctx, ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1")
 	must.Error(t, err)
 	must.False(t, errors.Is(err, store.ErrRefused))
 	standin.SetFault(platformtest.None)
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -16,6 +16,12 @@
 // ErrDeposed means that this process no longer leads, because a later term has begun.
 var ErrDeposed = errors.New("a later term has begun")
 
+// NoLeader takes the place of a renewal's version if the term has no leader that could renew it.
+const NoLeader int64 = -1
+
+// ErrRenewed means that the leader has renewed its term.
+var ErrRenewed = errors.New("the leader has renewed its term")
+
 // Term is the stored record of a leadership.
 type Term struct {
 	// Number is 0 if no term has begun yet.
@@ -45,7 +51,8 @@
 	return Term{}, page.Version, nil
 }
 
-// RenewalVersion returns a number that changes with each renewal of the term.
+// RenewalVersion returns a number that changes with each renewal of the term; 0 if there has
+// been none.
 func (l *Ledger) RenewalVersion(ctx context.Context) (int64, error) {
 	row, err := l.readRow(ctx, mainKey(renewalTable, leaderKey))
 	if err != nil || row == nil {
@@ -77,10 +84,12 @@
 	unconfirmed *store.Tx
 }
 
-// BeginTerm begins the term after prev, if prev is still the current one. If this process
-// began prev itself and did not receive the answer, it resumes prev. It returns ErrDeposed if
-// another process has begun a later term.
-func (l *Ledger) BeginTerm(ctx context.Context, prev Term, leader, process string) (*HeldTerm, error) {
+// BeginTerm begins the term after prev, if prev is still the current one. renewal is the result
+// of RenewalVersion by which prev's leader has failed to renew it, or NoLeader.
+// If this process began prev itself and did not receive the answer, it resumes prev. It returns
+// ErrDeposed if another process has begun a later term, and ErrRenewed if prev has been renewed
+// since.
+func (l *Ledger) BeginTerm(ctx context.Context, prev Term, renewal int64, leader, process string) (*HeldTerm, error) {
 	if prev.Process == process && !prev.Resigned {
 		return &HeldTerm{ledger: l, Term: prev, progressVersions: map[string]int64{}}, nil
 	}
@@ -90,13 +99,21 @@
 		return nil, fmt.Errorf("encode term: %w", err)
 	}
 	k := mainKey(termTable, leaderKey)
-	t.version, err = l.store.Apply(ctx, store.Tx{
+	renewalKey := mainKey(renewalTable, leaderKey)
+	tx := store.Tx{
 		Expect: []store.Expect{{Key: k, Version: prev.version}},
-		Writes: []store.Write{{Key: k, Value: value}, {Key: mainKey(renewalTable, leaderKey), Value: []byte(process)}},
-	})
+		Writes: []store.Write{{Key: k, Value: value}, {Key: renewalKey, Value: []byte(process)}},
+	}
+	if renewal != NoLeader {
+		tx.Expect = append(tx.Expect, store.Expect{Key: renewalKey, Version: renewal})
+	}
+	t.version, err = l.store.Apply(ctx, tx)
 	conflict := (*store.ConflictError)(nil)
 	if errors.As(err, &conflict) {
 		row, ok := conflict.Row(termTable, leaderKey)
+		if ok && row.Version == prev.version {
+			return nil, fmt.Errorf("%w: %w", ErrRenewed, err)
+		}
 		if !ok || !bytes.Equal(row.Value, value) {
 			return nil, fmt.Errorf("%w: %w", ErrDeposed, err)
 		}
