leader, planner: count the lease of an earlier leader for a lost agent

When an agent was lost, its runs counted as alive until the last lease of this leader had expired. A leader that could not renew its term yet grants nothing, so that was in the past: the agent's runs were dropped at once and started elsewhere, while the lease of the earlier leader kept them alive.

The bound that was set at the takeover now stays in force until this leader grants a full lease, which expires later than all before it.

The test on the code before (b was told to start the task that runs on a):

--- FAIL: TestLeader_LostAgentKeepsLeaseOfEarlierLeader (3.42s) agents_test.go:132: expected value of 0, value: 1

After: passes; internal/planner and internal/leader pass with -race, the planner's model passes 3000 checks.

--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -89,3 +89,45 @@
 		return r.planner.UnreportedAgents() == 0
 	}), wait.Timeout(15*time.Second), wait.Gap(20*time.Millisecond)))
 }
+
+// An agent whose lease was granted by an earlier leader is lost before this leader has granted it
+// one. Its runs are alive until the earlier lease has expired and must not be started elsewhere.
+func TestLeader_LostAgentKeepsLeaseOfEarlierLeader(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
+	must.NoError(t, err)
+	allowed := make(chan struct{})
+	hooked.onApply = func(tx store.Tx) error {
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
+			select {
+			case <-allowed:
+			default:
+				return store.ErrRefused
+			}
+		}
+		return nil
+	}
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
+	b := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	l, _ := runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		r := l.leadership.Load()
+		if r == nil {
+			return false
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.planner.UnreportedAgents() == 0
+	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	test.Zero(t, a.count(hasGrant))
+	a.set(func() { a.noSnapshot = true })
+	a.closeSessions()
+	close(allowed)
+	b.await(t, hasGrant)
+	time.Sleep(3 * time.Second)
+	test.Zero(t, b.count(hasStarts))
+}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -60,8 +60,10 @@
 
 // agent is the planner's view of an agent, its runner and its runs.
 type agent struct {
-	id             string
-	state          agentState
+	id    string
+	state agentState
+	// leaseExpiresAt is when the agent's latest known lease expires, including leases that an
+	// earlier planner may have granted.
 	leaseExpiresAt time.Duration
 	runner         *job.Runner
 	rack           string
@@ -312,16 +314,22 @@
 		p.setDead(a)
 	case a.state == live:
 		a.state = lost
-		a.leaseExpiresAt = expiresAt
+		fallthrough
 	case a.state == unreported:
 		a.leaseExpiresAt = max(a.leaseExpiresAt, expiresAt)
 	}
 }
 
-// AgentLeaseExtended records that the lease of an agent was extended before its state was
-// passed to AgentConnected. Its runs may be alive until expiresAt.
+// AgentLeaseExtended records that the lease of an agent was extended by the full lease
+// duration. Its runs may be alive until expiresAt.
 func (p *Planner) AgentLeaseExtended(id string, expiresAt time.Duration) {
-	if a := p.agents[id]; a != nil && (a.state == lost || a.state == unreported) {
+	a := p.agents[id]
+	switch {
+	case a == nil:
+	case a.state == live:
+		// All leases that were granted earlier expire earlier.
+		a.leaseExpiresAt = expiresAt
+	case a.state == lost || a.state == unreported:
 		a.leaseExpiresAt = max(a.leaseExpiresAt, expiresAt)
 	}
 }
