leader: acknowledge ends without a commit only within the term

Ends that cause no change of progress were acknowledged without any call of the store. A leader that has been deposed and does not know it takes the end of a run of its successor for an end that means nothing: it does not know the job, or not the run. It can receive such an end, since an agent that restarts accepts a session of any term. The runner then forgets the end, and the successor starts the task again after it was done.

These ends are now acknowledged only while the last renewal entitles the leader to order starts: until then no later leader exists.

The test on the code before:

--- FAIL: TestLeader_EndsAreAcknowledgedOnlyWithinTheTerm (0.82s) leadership_test.go:218: expected value of 0, value: 1

After: passes; internal/leader passes with -race. The test shows the acknowledgement by a leader without a renewed term; the second start that can follow was not played.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -112,10 +112,14 @@
 }
 
 // reportStoredEnds notifies the agents of stored ends if no change is pending. It covers ends
-// that caused no change.
+// that caused no change. No commit has shown that the term goes on, so it must have been renewed
+// recently: ends that mean nothing to this leader may matter to a later one.
 func (r *leadership) reportStoredEnds() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.opts.Now() >= r.renewedAt+startValidity {
+		return
+	}
 	if pending, _ := r.planner.Pending(); !pending {
 		r.sendStoredEnds(r.receivedEnds())
 	}
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -22,6 +22,7 @@
 	address  string
 	mu       sync.Mutex
 	active   []*wirepb.RunActivity
+	ends     []*wirepb.RunEnd
 	received []receivedMessage
 	// noRunner means that it has no runner, noSnapshot that it sends only heartbeats.
 	noRunner, noSnapshot bool
@@ -48,7 +49,7 @@
 func (a *fakeAgent) firstMessage() *wirepb.AgentMessage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, NoRunner: a.noRunner}
+	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, Ends: a.ends, NoRunner: a.noRunner}
 	if !a.noRunner {
 		m.Runner = wire.RunnerInfo(&job.Runner{
 			ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
@@ -147,4 +148,5 @@
 
 func hasGrant(m *wirepb.LeaderMessage) bool  { return m.Grant != nil }
 func hasStarts(m *wirepb.LeaderMessage) bool { return len(m.Starts) > 0 }
+func hasStored(m *wirepb.LeaderMessage) bool { return m.Stored != nil }
 func hasStops(m *wirepb.LeaderMessage) bool  { return len(m.Stops) > 0 }
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -21,6 +21,7 @@
 	"bamboowood/internal/site"
 	"bamboowood/internal/store"
 	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
 	"bamboowood/platform"
 	"bamboowood/platform/platformtest"
 )
@@ -187,6 +188,38 @@
 	a.await(t, hasGrant)
 }
 
+// A leader whose term may have ended must not acknowledge the end of a run that it does not know:
+// the run may be that of a later leader, which would never receive the end and would start the
+// task again.
+func TestLeader_EndsAreAcknowledgedOnlyWithinTheTerm(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
+	must.NoError(t, err)
+	allowed := make(chan struct{})
+	hooked.onApply = func(tx store.Tx) error {
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
+			select {
+			case <-allowed:
+			default:
+				return store.ErrRefused
+			}
+		}
+		return nil
+	}
+	a := newFakeAgent(t)
+	a.ends = []*wirepb.RunEnd{{
+		Sequence: 1, Reason: string(job.EndDone), Run: wire.RunRef(job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1 << 17}),
+	}}
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	l, _ := runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	time.Sleep(800 * time.Millisecond)
+	test.Zero(t, a.count(hasStored))
+	close(allowed)
+	a.await(t, hasStored)
+}
+
 // A leader that was cut off from the store renews its term just before another entry takes over.
 // Its renewal entitles it to order starts, so the other entry must not begin the next term
 // within startValidity.
