leader, ledger: do not run jobs whose progress cannot be read

A job whose row of progress could not be decoded was loaded as a job without progress: all of its tasks were started, whether done or not, and the row was replaced. An entry that cannot be read does not prove that there is none.

Such a job is now quarantined, as one that makes the planner panic: it stays accepted, its row is kept, and the error is logged.

The test on the code before:

--- FAIL: TestLeader_UnreadableProgress (0.07s) leadership_test.go:378: expected value of 0, value: 1

After: passes; internal/leader and internal/ledger pass with -race. Nothing in a deployment is known to write such a row.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -68,6 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.instant()
+	r.quarantineUnknownProgress(c)
 	for _, j := range c.Jobs {
 		r.addJob(now, j, c.Progress[j.ID], true)
 	}
@@ -95,6 +96,16 @@
 	}
 }
 
+// quarantineUnknownProgress keeps jobs out of the planner whose tasks may be done. It is called
+// with the lock held.
+func (r *leadership) quarantineUnknownProgress(c *ledger.Contents) {
+	for _, id := range c.UnknownProgress {
+		if !r.planner.HasJob(id) {
+			r.quarantine(id)
+		}
+	}
+}
+
 func (r *leadership) logUnreadable(c *ledger.Contents) {
 	for _, err := range c.Unreadable {
 		r.opts.Logger.WithError(err).Error("unreadable ledger row skipped")
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -69,6 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.instant()
+	r.quarantineUnknownProgress(c)
 	for _, j := range c.Jobs {
 		if !r.planner.HasJob(j.ID) {
 			// Progress is set for a job that has ended and is being deleted.
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -356,6 +357,37 @@
 	}
 }
 
+// The stored progress of a job cannot be read, so which of its tasks are done is unknown. None of
+// them may be started, nor after a repeated submission, and the row must stay.
+func TestLeader_UnreadableProgress(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	unreadable, other := testJob(1), testJob(2)
+	must.NoError(t, jobLedger.Accept(t.Context(), unreadable))
+	key := store.Key{Table: "progress", Part: "main", Key: unreadable.ID}
+	version, err := hooked.Apply(t.Context(), store.Tx{Writes: []store.Write{{Key: key, Value: []byte(`{"before":1e99}`)}}})
+	must.NoError(t, err)
+	l, _ := runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	must.True(t, l.jobAccepted(unreadable))
+	must.NoError(t, jobLedger.Accept(t.Context(), other))
+	a.await(t, func(m *wirepb.LeaderMessage) bool { return startsJob(m, other.ID) })
+	time.Sleep(planInterval)
+	test.Zero(t, a.count(func(m *wirepb.LeaderMessage) bool { return startsJob(m, unreadable.ID) }))
+	page, err := hooked.Read(t.Context(), store.ReadRequest{Table: "progress", Part: "main", From: unreadable.ID}, 1)
+	must.NoError(t, err)
+	must.Len(t, 1, page.Rows)
+	test.Eq(t, version, page.Rows[0].Version)
+}
+
+func startsJob(m *wirepb.LeaderMessage, id string) bool {
+	return slices.ContainsFunc(m.Starts, func(o *wirepb.StartOrder) bool {
+		return strings.HasPrefix(o.Details.Run.Task, id)
+	})
+}
+
 // A panic in a loop of the leadership ends the term, not the process, and the next term does
 // not reuse its run numbers.
 func TestLeader_PanicEndsTheTerm(t *testing.T) {
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -28,6 +28,9 @@
 	PartiallyDeleted []string
 	// Unreadable holds one error for each row that could not be decoded and was skipped.
 	Unreadable []error
+	// UnknownProgress holds the ids of jobs whose progress could not be decoded. They are not in
+	// Jobs, since their tasks may be done.
+	UnknownProgress []string
 
 	progressVersions map[string]int64
 }
@@ -133,6 +136,8 @@
 		var p planner.Progress
 		if err := json.Unmarshal(row.Value, &p); err != nil {
 			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, err))
+			c.UnknownProgress = append(c.UnknownProgress, row.Key)
+			delete(ended, row.Key)
 			continue
 		}
 		c.Progress[row.Key] = &p
@@ -142,6 +147,7 @@
 			delete(ended, row.Key)
 		}
 	}
+	c.Jobs = slices.DeleteFunc(c.Jobs, func(j *job.Job) bool { return slices.Contains(c.UnknownProgress, j.ID) })
 	// A compacted job without progress is left from an interrupted deletion.
 	c.PartiallyDeleted = append(c.PartiallyDeleted, slices.Sorted(maps.Keys(ended))...)
 	return c
