leader, planner: do not take a suspension for stalled runs

Silence while nobody listens proves nothing about the runs.

The time between two plans that shows a suspension is no longer counted as time without progress.

The test on the code before:

--- FAIL: TestLeader_RunsAreNotStalledAfterSuspension (0.21s) leadership_test.go:276: expected value of 0, value: 1

After: passes; internal/leader and internal/planner pass with -race.

--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,12 +74,16 @@
 
 // runLeader runs a leader until the test ends or stop is called.
 func runLeader(t *testing.T, jobLedger *ledger.Ledger) (l *Leader, stop func()) {
+	return runLeaderWithClock(t, jobLedger, boottime.Now)
+}
+
+func runLeaderWithClock(t *testing.T, jobLedger *ledger.Ledger, now func() time.Duration) (l *Leader, stop func()) {
 	config := &site.Config{Services: map[string]site.Service{"desk": {Name: "desk", EnforcesCapacity: true}}}
 	l = New(Options{
 		Ledger: jobLedger, CallersLedger: jobLedger, Logger: &log.Logger{Handler: discard.Default},
 		Address: "10.0.0.1:1", Process: "p1",
 		Site: func() *site.State { return &site.State{Config: config} },
-		Now:  boottime.Now, LeaseDuration: 5 * time.Second,
+		Now:  now, LeaseDuration: 5 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -252,6 +257,25 @@
 	test.Greater(t, startValidity, began-renewed)
 }
 
+// A leader that was suspended has received no reports meanwhile. Its runs must not count as stalled
+// for that: all of them would be stopped.
+func TestLeader_RunsAreNotStalledAfterSuspension(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	var suspended atomic.Int64
+	l, _ := runLeaderWithClock(t, jobLedger, func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) })
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		state, known, _ := l.Status(testJob(1).ID)
+		return known && state == job.Running
+	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	suspended.Store(int64(2 * time.Second))
+	time.Sleep(4 * planInterval)
+	test.Zero(t, a.count(hasStops))
+}
+
 // Reading the ledger takes longer than takeoverAfter. Meanwhile the term is renewed, agents get
 // leases, and no run is stopped because its job has not been read.
 func TestPattern_LongLoad(t *testing.T) {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -34,8 +34,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now = r.opts.Now()
-	if now-last > suspendThreshold {
-		r.opts.Logger.WithField("gap", (now - last).String()).Warn("long gap between plans; renewing the term before further starts")
+	if gap := now - last; gap > suspendThreshold {
+		r.opts.Logger.WithField("gap", gap.String()).Warn("long gap between plans; renewing the term before further starts")
+		r.planner.Suspended(now, gap)
 		r.renewedAt = min(r.renewedAt, now-startValidity)
 		signal(r.wakeRenew)
 	}
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// Suspended records that this process was suspended for d and processed no reports. That time
+// does not count as time without progress.
+func (p *Planner) Suspended(now, d time.Duration) {
+	for _, a := range p.orderedAgents {
+		for _, r := range a.runs {
+			r.progressAt = min(r.progressAt+d, now)
+		}
+	}
+}
+
 func (s *stepState) isStalled(now time.Duration, r *run) bool {
 	if s.step.Continuous || s.step.Gang {
 		return false
