follower, wire: check that the leader expects this agent

A session proved only who has the address at present. If an agent has the address of another one, as behind a port forward (`advertise`), the leader took its report for that of the other agent: the other's runs were not listed there, so that they were dropped and their tasks started again.

The first message of a session now names the agent that the leader expects; any other agent closes the session. The other agent then counts as lost until its lease has expired.

The test on the code before, with the new field:

--- FAIL: TestFollower_LeaderOfAnotherAgent (0.01s) follower_test.go:138: expected non-nil error; got nil

After: passes; internal/follower, leader, wire and daemon pass with -race. Where an agent's name is the IP address at which it is reached, as in the users' deployments, the address was sufficient; another machine that gets the same IP address is still not told apart.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -109,6 +109,9 @@
 	if err := stream.Recv(&hello); err != nil {
 		return err
 	}
+	if hello.Agent != f.opts.Name {
+		return fmt.Errorf("%w: %q", errOtherAgent, hello.Agent)
+	}
 	if laterTerm, leader := f.setCurrent(session, &hello); laterTerm != 0 {
 		f.opts.Logger.WithFields(log.Fields{"term": hello.Term, "later_term": laterTerm}).Warn("leader with outdated term refused")
 		if err := stream.Send(&wirepb.AgentMessage{LaterTerm: laterTerm, LaterLeader: leader}); err != nil {
@@ -172,8 +175,9 @@
 }
 
 var (
-	errReplaced  = errors.New("replaced by another session")
-	errNoPayload = errors.New("start order refers to a payload not received in this session")
+	errReplaced   = errors.New("replaced by another session")
+	errOtherAgent = errors.New("leader expects another agent at this address")
+	errNoPayload  = errors.New("start order refers to a payload not received in this session")
 )
 
 // apply applies a message if its session is still the current one. It holds the lock, so that
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -87,7 +87,7 @@
 	stream, err := session.Open(t.Context())
 	must.NoError(t, err)
 	must.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
-	must.NoError(t, stream.Send(&wirepb.LeaderMessage{Term: term}))
+	must.NoError(t, stream.Send(&wirepb.LeaderMessage{Term: term, Agent: "a"}))
 	return stream
 }
 
@@ -121,6 +121,24 @@
 	test.False(t, m.Snapshot)
 }
 
+// An agent has the address that another agent had. The leader must not take this agent's runs for
+// those of the other one, whose tasks it would start again.
+func TestFollower_LeaderOfAnotherAgent(t *testing.T) {
+	address, _ := startAgent(t)
+	current := openLeaderSession(t, address, 5)
+	waitForSnapshot(t, current)
+	session, err := wire.Dial(t.Context(), address, nil)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	stream, err := session.Open(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
+	must.NoError(t, stream.Send(&wirepb.LeaderMessage{Term: 6, Agent: "b"}))
+	var m wirepb.AgentMessage
+	must.Error(t, stream.Recv(&m))
+	must.NoError(t, current.Recv(&m))
+}
+
 // After the agent has followed a leader of a later term, orders of the previous leader have
 // no effect, although its connection is still open.
 func TestFollower_OrdersOfReplacedLeader(t *testing.T) {
@@ -177,7 +195,7 @@
 	t.Cleanup(func() { _ = session.Close() })
 	current, err := session.Open(t.Context())
 	must.NoError(t, err)
-	must.NoError(t, current.Send(&wirepb.LeaderMessage{Term: 7, Leader: "10.0.0.7:1"}))
+	must.NoError(t, current.Send(&wirepb.LeaderMessage{Term: 7, Leader: "10.0.0.7:1", Agent: "a"}))
 	waitForSnapshot(t, current)
 	var m wirepb.AgentMessage
 	must.NoError(t, openLeaderSession(t, address, 6).Recv(&m))
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -127,7 +127,7 @@
 	if err := stream.SetDeadline(time.Now().Add(agentDialTimeout)); err != nil {
 		return false, err
 	}
-	if err := stream.Send(&wirepb.LeaderMessage{Term: r.term.Term.Number, Leader: r.opts.Address}); err != nil {
+	if err := stream.Send(&wirepb.LeaderMessage{Term: r.term.Term.Number, Leader: r.opts.Address, Agent: c.id}); err != nil {
 		return false, err
 	}
 	c.resetOut()
