--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	"bamboowood/internal/site"
 	"bamboowood/internal/store"
 	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
 	"bamboowood/platform"
 	"bamboowood/platform/platformtest"
 )
@@ -71,12 +73,16 @@
 
 // runLeader runs a leader until the test ends or stop is called.
 func runLeader(t *testing.T, jobLedger *ledger.Ledger) (l *Leader, stop func()) {
+	return runLeaderWithClock(t, jobLedger, boottime.Now)
+}
+
+func runLeaderWithClock(t *testing.T, jobLedger *ledger.Ledger, now func() time.Duration) (l *Leader, stop func()) {
 	config := &site.Config{Services: map[string]site.Service{"desk": {Name: "desk", EnforcesCapacity: true}}}
 	l = New(Options{
 		Ledger: jobLedger, CallersLedger: jobLedger, Logger: &log.Logger{Handler: discard.Default},
 		Address: "10.0.0.1:1", Process: "p1",
 		Site: func() *site.State { return &site.State{Config: config} },
-		Now:  boottime.Now, LeaseDuration: 5 * time.Second,
+		Now:  now, LeaseDuration: 5 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -161,7 +167,7 @@
 func TestLeader_ResumedTermIsRenewedFirst(t *testing.T) {
 	hooked, _ := newHookedStore(t)
 	jobLedger := newLedger(hooked)
-	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, "10.0.0.1:1", "p1/0")
+	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
 	must.NoError(t, err)
 	allowed := make(chan struct{})
 	hooked.onApply = func(tx store.Tx) error {
@@ -292,6 +298,37 @@
 	}
 }
 
+// The stored progress of a job cannot be read, so which of its tasks are done is unknown. None of
+// them may be started, nor after a repeated submission, and the row must stay.
+func TestLeader_UnreadableProgress(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	unreadable, other := testJob(1), testJob(2)
+	must.NoError(t, jobLedger.Accept(t.Context(), unreadable))
+	key := store.Key{Table: "progress", Part: "main", Key: unreadable.ID}
+	version, err := hooked.Apply(t.Context(), store.Tx{Writes: []store.Write{{Key: key, Value: []byte(`{"before":1e99}`)}}})
+	must.NoError(t, err)
+	l, _ := runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	must.True(t, l.jobAccepted(unreadable))
+	must.NoError(t, jobLedger.Accept(t.Context(), other))
+	a.await(t, func(m *wirepb.LeaderMessage) bool { return startsJob(m, other.ID) })
+	time.Sleep(planInterval)
+	test.Zero(t, a.count(func(m *wirepb.LeaderMessage) bool { return startsJob(m, unreadable.ID) }))
+	page, err := hooked.Read(t.Context(), store.ReadRequest{Table: "progress", Part: "main", From: unreadable.ID}, 1)
+	must.NoError(t, err)
+	must.Len(t, 1, page.Rows)
+	test.Eq(t, version, page.Rows[0].Version)
+}
+
+func startsJob(m *wirepb.LeaderMessage, id string) bool {
+	return slices.ContainsFunc(m.Starts, func(o *wirepb.StartOrder) bool {
+		return strings.HasPrefix(o.Details.Run.Task, id)
+	})
+}
+
 // A panic in a loop of the leadership ends the term, not the process, and the next term does
 // not reuse its run numbers.
 func TestLeader_PanicEndsTheTerm(t *testing.T) {
