follower: accept leaders that do not name the agent

Leaders of earlier versions send no name with their hello; agents of this version refused them, so a cluster would have stood still until all entries were upgraded. TestFollower_LeaderThatDoesNotNameTheAgent fails without the change.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -109,7 +109,8 @@
 	if err := stream.Recv(&hello); err != nil {
 		return err
 	}
-	if hello.Agent != f.opts.Name {
+	// Leaders of earlier versions do not name the agent.
+	if hello.Agent != "" && hello.Agent != f.opts.Name {
 		return fmt.Errorf("%w: %q", errOtherAgent, hello.Agent)
 	}
 	if laterTerm, leader := f.setCurrent(session, &hello); laterTerm != 0 {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -133,12 +133,28 @@
 	stream, err := session.Open(t.Context())
 	must.NoError(t, err)
 	must.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
-	must.NoError(t, stream.Send(&wirepb.LeaderMessage{Term: 6, Agent: "b"}))
 	var m wirepb.AgentMessage
-	must.Error(t, stream.Recv(&m))
+	// Send fails if the agent ends the session before Send returns.
+	if err := stream.Send(&wirepb.LeaderMessage{Term: 6, Agent: "b"}); err == nil {
+		must.Error(t, stream.Recv(&m))
+	}
 	must.NoError(t, current.Recv(&m))
 }
 
+// Guards against agents that refuse the leader of an earlier version, which does not name the agent,
+// during an upgrade.
+func TestFollower_LeaderThatDoesNotNameTheAgent(t *testing.T) {
+	address, _ := startAgent(t)
+	session, err := wire.Dial(t.Context(), address, nil)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	stream, err := session.Open(t.Context())
+	must.NoError(t, err)
+	must.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
+	must.NoError(t, stream.Send(&wirepb.LeaderMessage{Term: 5}))
+	waitForSnapshot(t, stream)
+}
+
 // After the agent has followed a leader of a later term, orders of the previous leader have
 // no effect, although its connection is still open.
 func TestFollower_OrdersOfReplacedLeader(t *testing.T) {
