supervisor: stop a run whose second start is refused for lack of capacity

Cause: when the first call to start a run got no answer and the second was refused because the runner had no capacity left, the run was reported as refused at once. The first call may still take effect seconds later (PROTOCOL), while the task runs elsewhere. It is now stopped first, as after any other refusal.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -134,3 +134,23 @@
 		must.Len(t, 1, u.Refusals)
 	})
 }
+
+// Guards against giving up a run because its second start was refused: the first one, which got no
+// answer, may still take effect.
+func TestSupervisor_RefusedAfterUnansweredStart(t *testing.T) {
+	runTest(t, func(f *fakeRunner) {
+		f.onStart = func(runner.StartRequest) (runner.Refusal, error) {
+			if len(f.starts) == 1 {
+				return "", errNoAnswer
+			}
+			return runner.RefusedCapacity, nil
+		}
+	}, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.grantLease()
+		run := h.startRun(1)
+		u := h.collectUpdates(2 * time.Second)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, []job.Run{run}, h.fake.stops, test.Sprint("the run is refused only after a confirmed stop"))
+	})
+}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -131,7 +131,7 @@
 	case refusal == runner.RefusedStale:
 		// The run has ended or been stopped; the next report lists its end.
 		s.reconcile(r, refusal)
-	case sent && refusal != runner.RefusedCapacity:
+	case sent:
 		return false
 	default:
 		s.dropRun(run, refusal, causeRefused)
