supervisor: no lease beyond its grant after a suspension

Cause: the end of a lease on the runner's clock was reckoned with the time since its last reading on a clock that counts suspended time. If the VM was suspended with its runner, the runner's clock stood still meanwhile, and a start right after the suspension gave all runs a lease that outlasted the grant by as much: the leader starts their tasks elsewhere once the grant has expired. The shorter of the steady and the boot time now counts.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -276,9 +276,12 @@
 func (n *PlatformNode) RunAgent(ctx context.Context) error {
 	storeClient := platform.NewStore(n.node.StoreAddress)
 	jobLedger := ledger.New(storeClient, store.NewBulkReader(storeClient, n.node.LinkRate))
+	started := time.Now()
 	runnerSupervisor := supervisor.New(supervisor.Options{
 		Runner: platform.NewRunner(n.node.RunnerAddress), Logger: n.logger, Now: boottime.Now,
-		MaxLease: n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
+		// Go's monotonic clock does not count the time in which the machine is suspended.
+		SteadyNow: func() time.Duration { return time.Since(started) },
+		MaxLease:  n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
 	})
 	agentFollower := follower.New(follower.Options{
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -62,7 +62,7 @@
 	r = &fakeRunner{startedAt: time.Now().Add(-time.Minute)}
 	logger := &log.Logger{Handler: discard.Default}
 	s := supervisor.New(supervisor.Options{
-		Runner: r, Logger: logger, Now: boottime.Now, MaxLease: 5 * time.Second, FirstToken: 1,
+		Runner: r, Logger: logger, Now: boottime.Now, SteadyNow: boottime.Now, MaxLease: 5 * time.Second, FirstToken: 1,
 	})
 	must.NoError(t, s.RunnerReported(t.Context(), job.Runner{ID: "i-1", Service: "desk", Sequence: 1}, ""))
 	f := New(Options{Supervisor: s, Logger: logger, Name: "a", Now: boottime.Now})
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -146,7 +146,9 @@
 		return 0
 	}
 	s.runnerLeaseUntil = max(s.runnerLeaseUntil, until)
-	return s.runnerClock + scale(now-s.runnerClockAt+remaining, 1-clockDrift)
+	// The runner's clock may have stood still while the machine was suspended.
+	elapsed := min(now-s.runnerClockAt, s.opts.SteadyNow()-s.runnerClockSteadyAt)
+	return s.runnerClock + scale(elapsed+remaining, 1-clockDrift)
 }
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
@@ -238,7 +240,7 @@
 		defer s.signal(s.notify)
 		s.runsListed = true
 	}
-	s.runnerClock, s.runnerClockAt = report.Clock, s.opts.Now()
+	s.runnerClock, s.runnerClockAt, s.runnerClockSteadyAt = report.Clock, s.opts.Now(), s.opts.SteadyNow()
 	if report.Unreadable > 0 {
 		s.opts.Logger.WithField("entries", report.Unreadable).Warn("malformed entries in runner's report skipped")
 	}
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -199,5 +199,19 @@
 	})
 }
 
+// Guards against a lease that outlasts its grant because the runner's clock stood still while the
+// machine was suspended.
+func TestSupervisor_LeaseAfterSuspension(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.suspended.Store(int64(4 * time.Second))
+		h.grantLease()
+		limit := h.fake.clock() + testLease
+		h.startRun(2)
+		time.Sleep(2 * renewWait)
+		test.LessEq(t, limit, h.fake.leaseEnd())
+	})
+}
+
 // heartbeat is the interval at which an agent's leader grants leases.
 const heartbeat = 300 * time.Millisecond
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -21,6 +21,9 @@
 	Logger log.Interface
 	// Now is a monotonic clock that includes the time in which the machine is suspended.
 	Now func() time.Duration
+	// SteadyNow is a monotonic clock that stands still while the machine is suspended, as the
+	// runner's clock may.
+	SteadyNow func() time.Duration
 	// MaxLease is the longest lease that the runner grants.
 	MaxLease time.Duration
 	// FirstToken is the initial fencing token. It must be higher than the tokens of
@@ -135,9 +138,11 @@
 	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the lease that this
 	// agent has given to the runner.
 	runnerLeaseUntil time.Duration
-	// runnerClock is the reading of the runner's clock at runnerClockAt.
-	runnerClock   time.Duration
-	runnerClockAt time.Duration
+	// runnerClock is the reading of the runner's clock at runnerClockAt, which is
+	// runnerClockSteadyAt on SteadyNow's clock.
+	runnerClock         time.Duration
+	runnerClockAt       time.Duration
+	runnerClockSteadyAt time.Duration
 	// failures counts consecutive lease renewals without an answer.
 	failures        int
 	noListenerSince time.Duration
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,7 @@
 	}
 	f.starts = append(f.starts, o.Run)
 	f.tokens = append(f.tokens, fence.Token)
+	f.lease = max(f.lease, o.LeaseEnd)
 	if f.onStart != nil {
 		refusal, err := f.onStart(o)
 		return refusal, f.clock(), err
@@ -156,6 +158,9 @@
 	*Supervisor
 	fake *fakeRunner
 	t    *testing.T
+	// suspended is how long the machine has been suspended, in nanoseconds. The runner's clock
+	// does not count that time.
+	suspended *atomic.Int64
 }
 
 func runTest(t *testing.T, prepare func(*fakeRunner), check func(h *harness)) {
@@ -165,9 +170,12 @@
 			prepare(fake)
 		}
 		origin := time.Now().Add(-time.Minute)
+		var suspended atomic.Int64
+		steadyNow := func() time.Duration { return time.Since(origin) }
 		s := New(Options{
-			Runner: fake, Logger: &log.Logger{Handler: discard.Default},
-			Now: func() time.Duration { return time.Since(origin) }, MaxLease: testLease, FirstToken: 1,
+			Runner: fake, Logger: &log.Logger{Handler: discard.Default}, SteadyNow: steadyNow,
+			Now:      func() time.Duration { return steadyNow() + time.Duration(suspended.Load()) },
+			MaxLease: testLease, FirstToken: 1,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -175,7 +183,7 @@
 			defer close(done)
 			_ = s.Run(ctx)
 		}()
-		check(&harness{Supervisor: s, fake: fake, t: t})
+		check(&harness{Supervisor: s, fake: fake, t: t, suspended: &suspended})
 		cancel()
 		<-done
 	})
