platform: list a live run whose other fields cannot be read

An entry of a runner's activeRuns was left out if any of its fields could not be decoded, such as a percent that is a string or a number too large. The supervisor drops a confirmed run that three reports in a row do not list, so one odd field made a live run count as gone, and its task was started a second time. In the same way an end was left out because of its checkpoint.

An entry names a live run if its task and run number can be read; any other field that cannot be read, or is out of range, stays at its zero value and is counted. CheckpointUnknown tells an unreadable checkpoint from none. An end needs its sequence, task, run and reason. Run numbers and sequences outside 1 to 2^53 name no run: an end with a sequence of 2^63-1 hid all later ones. The first reason is in the report, so that it can be logged.

--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -40,6 +40,9 @@
 type Activity struct {
 	Run        Run
 	Checkpoint string
+	// CheckpointUnknown is set if the report's checkpoint could not be read. The one reported
+	// before remains valid.
+	CheckpointUnknown bool
 	// Percent is the share of the task's work that is done; 100 for a continuous task that
 	// is up.
 	Percent int
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,8 +71,10 @@
 	StartTime int64
 	Active    []job.Activity
 	Ends      []job.End
-	// Unreadable counts malformed entries that were left out.
-	Unreadable int
+	// Unreadable counts malformed entries that were left out. UnreadableReason is the error of
+	// the first one.
+	Unreadable       int
+	UnreadableReason error
 }
 
 // RenewRequest is a request to extend the lease of all runs, acknowledge ends and wait for new
