--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/contain"
@@ -304,6 +305,9 @@
 	return g.Run()
 }
 
+// malformedReportLogs bounds the log lines of malformed reports; their sender may repeat them.
+var malformedReportLogs = rate.NewLimiter(1, 20)
+
 // runnerReports forwards the runner's reports to the supervisor.
 type runnerReports struct {
 	supervisor *supervisor.Supervisor
@@ -320,5 +324,8 @@
 
 // ReportMalformed implements platform.Reports.
 func (r *runnerReports) ReportMalformed(err error) {
+	if !malformedReportLogs.Allow() {
+		return
+	}
 	r.logger.WithError(err).Warn("malformed runner report")
 }
