ledger: read the term beside rows of another writer

CurrentTerm read the first row of the term table and looked for the leader's row in it. A row with a lower key hid the term: each entry took it that no term had begun, and its attempt to begin one conflicted with the hidden row, for ever. The read now has the range of the leader's row.

On the code before, TestCurrentTerm_OddRowsBeside failed: the current term had no process.

--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -32,17 +32,16 @@
 
 // CurrentTerm reads the current term, and the version from which FollowTerm continues.
 func (l *Ledger) CurrentTerm(ctx context.Context) (Term, int64, error) {
-	page, err := l.store.Read(ctx, store.ReadRequest{Table: termTable, Part: mainPart}, 1)
+	// The range keeps out rows with other keys, which another writer may have left.
+	page, err := l.store.Read(ctx, store.ReadRequest{Table: termTable, Part: mainPart, From: leaderKey, To: leaderKey + "\x00"}, 1)
 	if err != nil {
 		return Term{}, 0, fmt.Errorf("read term: %w", err)
 	}
-	for _, row := range page.Rows {
-		if row.Key == leaderKey {
-			t, err := decodeTerm(row)
-			return t, page.Version, err
-		}
+	if len(page.Rows) == 0 {
+		return Term{}, page.Version, nil
 	}
-	return Term{}, page.Version, nil
+	t, err := decodeTerm(page.Rows[0])
+	return t, page.Version, err
 }
 
 // RenewalVersion returns a number that changes with each renewal of the term.
