leader: begin a term after an unreadable term row

A term row that another writer had replaced ended the election for good: reading it failed in each attempt, and a number of 2^63-1 made the next one negative, which all agents refuse. Without a leader no job starts and no lease is extended.

Such a row is now a term of unknown number that has not been resigned: its leader can still order starts until its renewals fail, so the others wait for takeoverAfter, as after the loss of a leader. The next number is above all that this entry has seen, also those that an agent reports, since the row may lack them.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -127,15 +127,27 @@
 	if err != nil {
 		return err
 	}
-	l.observe(term)
+	seen := l.term.Load().Number
+	if term.Unreadable {
+		unreadableTerms.Inc()
+		l.opts.Logger.Warn("term row is unreadable; waiting until its leader has stopped renewing")
+	} else {
+		l.observe(term)
+	}
 	if !l.leaderless(term) {
 		expired, err := l.watch(ctx, term, version)
 		if err != nil || !expired {
 			return err
 		}
 	}
+	process := fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed)
+	if term.Process != process {
+		// Agents refuse a term that is not later than all that they have seen. The row lacks one of
+		// these if another writer has replaced it.
+		term.Number = max(term.Number, seen)
+	}
 	sent := l.opts.Now()
-	held, err := l.opts.Ledger.BeginTerm(ctx, term, l.opts.Address, fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed))
+	held, err := l.opts.Ledger.BeginTerm(ctx, term, l.opts.Address, process)
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
 	}
@@ -166,7 +178,7 @@
 // leaderless reports whether certainly no process leads: there has been no term, its
 // leader has resigned, or its leader was an earlier process at this address.
 func (l *Leader) leaderless(term ledger.Term) bool {
-	return term.Number == 0 || term.Resigned || term.Leader == l.opts.Address
+	return !term.Unreadable && (term.Number == 0 || term.Resigned || term.Leader == l.opts.Address)
 }
 
 // awaitTermChange waits until another term begins or the leader resigns this one. It
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -26,10 +26,16 @@
 	Process string `json:"process"`
 	// Resigned reports whether the leader has resigned from the term.
 	Resigned bool `json:"resigned,omitempty"`
+	// Unreadable is set if the row cannot be decoded or its number is out of range. Another
+	// writer has replaced it; which term it was is unknown.
+	Unreadable bool `json:"-"`
 
 	version int64
 }
 
+// maxTermNumber bounds the numbers of terms, from which run numbers are derived.
+const maxTermNumber = 1 << 32
+
 // CurrentTerm reads the current term, and the version from which FollowTerm continues.
 func (l *Ledger) CurrentTerm(ctx context.Context) (Term, int64, error) {
 	// The range keeps out rows with other keys, which another writer may have left.
@@ -40,8 +46,7 @@
 	if len(page.Rows) == 0 {
 		return Term{}, page.Version, nil
 	}
-	t, err := decodeTerm(page.Rows[0])
-	return t, page.Version, err
+	return decodeTerm(page.Rows[0]), page.Version, nil
 }
 
 // RenewalVersion returns a number that changes with each renewal of the term.
@@ -53,13 +58,13 @@
 	return row.Version, nil
 }
 
-func decodeTerm(row store.Row) (Term, error) {
+func decodeTerm(row store.Row) Term {
 	var t Term
-	if err := json.Unmarshal(row.Value, &t); err != nil {
-		return Term{}, fmt.Errorf("decode term: %w", err)
+	if err := json.Unmarshal(row.Value, &t); err != nil || t.Number < 1 || t.Number > maxTermNumber || t.Leader == "" {
+		return Term{Unreadable: true, version: row.Version}
 	}
 	t.version = row.Version
-	return t, nil
+	return t
 }
 
 // HeldTerm is a term that this process leads. Its methods are not safe for
