ledger: skip a job row whose numbers are out of bounds

A job row was only decoded, not checked: the bounds of job.Validate hold for what entries accept, not for what another writer stores. A row with a billion tasks made the leader allocate state for each of them, and the next leader again; a row with CPU of 2^63-1 would overflow the sums over the runs of an agent. Panics of the planner are contained, but not memory.

DecodeJob now checks these bounds (job.CheckBounds, a part of Validate) and the id. Such a row is skipped and counted like one that is not JSON. What only makes the planner panic still leads to a quarantined job.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -163,11 +163,11 @@
 	if len(j.Payload) > MaxPayloadBytes {
 		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
-		return fmt.Errorf("job has %d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
+	if len(j.Steps) == 0 {
+		return fmt.Errorf("job has no steps")
 	}
-	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences {
-		return fmt.Errorf("job has %d occurrences, 0 to %d are allowed", j.Occurrences, MaxOccurrences)
+	if err := j.CheckBounds(); err != nil {
+		return err
 	}
 	if j.Occurrences > 1 && j.Interval <= 0 {
 		return fmt.Errorf("interval of a scheduled job must be positive")
@@ -175,11 +175,28 @@
 	if j.Interval > MaxAhead/time.Duration(j.OccurrenceCount()) || time.Until(j.Start) > MaxAhead {
 		return fmt.Errorf("an occurrence is due later than in %s", MaxAhead)
 	}
-	total := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+	}
+	return nil
+}
+
+// CheckBounds returns an error if a number of the job is out of bounds, so that the job would take
+// too much memory or distort the sums over all jobs. It is part of Validate.
+func (j *Job) CheckBounds() error {
+	if len(j.Steps) > MaxSteps {
+		return fmt.Errorf("job has %d steps, at most %d are allowed", len(j.Steps), MaxSteps)
+	}
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences {
+		return fmt.Errorf("job has %d occurrences, 0 to %d are allowed", j.Occurrences, MaxOccurrences)
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].checkBounds(); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
 		total += j.Steps[i].Tasks
 	}
 	if total > MaxTasks {
@@ -188,7 +205,7 @@
 	return nil
 }
 
-func (s *Step) validate(index int) error {
+func (s *Step) checkBounds() error {
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return fmt.Errorf("count is %d, must be 1 to %d", s.Tasks, MaxTasks)
 	}
@@ -198,6 +215,10 @@
 	if s.CPU > MaxAmount || s.MemoryMB > MaxAmount || s.GPUs > MaxAmount || s.Estimate > MaxEstimate {
 		return fmt.Errorf("a resource is above %d or an estimate above %s", int64(MaxAmount), MaxEstimate)
 	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("after: step %d is not an earlier step", before)
--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -96,6 +96,7 @@
 }
 
 func (r *leadership) logUnreadable(c *ledger.Contents) {
+	rowsUnreadable.Add(len(c.Unreadable))
 	for _, err := range c.Unreadable {
 		r.opts.Logger.WithError(err).Error("unreadable ledger row skipped")
 	}
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -19,6 +19,7 @@
 	renewFailures   = metrics.NewCounter("bamboowood_term_renewals_failed_total")
 	jobsQuarantined = metrics.NewCounter("bamboowood_jobs_set_aside_total")
 	unreadableTerms = metrics.NewCounter("bamboowood_terms_unreadable_total")
+	rowsUnreadable  = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
 	adviceFailures  = metrics.NewCounter("bamboowood_advice_failed_total")
 	commitSeconds   = metrics.NewHistogram("bamboowood_ledger_commit_seconds")
 	planSeconds     = metrics.NewHistogram("bamboowood_plan_seconds")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -122,12 +122,19 @@
 	return value, nil
 }
 
-// DecodeJob decodes the result of EncodeJob.
+// DecodeJob decodes the result of EncodeJob. It returns an error for a job whose numbers are out of
+// bounds, which only another writer stores.
 func DecodeJob(id string, value []byte) (*job.Job, error) {
+	if !job.ValidID(id) {
+		return nil, fmt.Errorf("decode job %q: invalid id", id)
+	}
 	j := &job.Job{ID: id}
 	if err := json.Unmarshal(value, j); err != nil {
 		return nil, fmt.Errorf("decode job %s: %w", id, err)
 	}
+	if err := j.CheckBounds(); err != nil {
+		return nil, fmt.Errorf("decode job %s: %w", id, err)
+	}
 	return j, nil
 }
 
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -1,12 +1,16 @@
 package ledger_test
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
 	"bamboowood/platform"
@@ -44,3 +48,46 @@
 	must.NoError(t, held.Renew(t.Context()))
 	must.Eq(t, 2, beginTerm(t, l, "p2").Term.Number)
 }
+
+// oddJobs are values of job rows that no entry stores.
+var oddJobs = map[string]string{
+	"no JSON":              `odd`,
+	"null in place of one": `"x"`,
+	"number too large":     `{"steps":[{"tasks":9223372036854775808}]}`,
+	"too many tasks":       `{"steps":[{"tasks":20001}]}`,
+	"no tasks":             `{"steps":[{"tasks":0}]}`,
+	"negative tasks":       `{"steps":[{"tasks":-1}]}`,
+	"tasks of all steps":   `{"steps":[{"tasks":20000},{"tasks":1}]}`,
+	"too many occurrences": `{"steps":[{"tasks":1}],"occurrences":10001,"interval":1}`,
+	"too much CPU":         `{"steps":[{"tasks":1,"cpu":9223372036854775807}]}`,
+	"negative memory":      `{"steps":[{"tasks":1,"mem":-1}]}`,
+	"estimate too long":    `{"steps":[{"tasks":1,"est":9223372036854775807}]}`,
+	"too many steps":       `{"steps":[` + strings.Repeat(`{"tasks":1},`, job.MaxSteps) + `{"tasks":1}]}`,
+	"deeply nested":        strings.Repeat(`{"steps":[`, 20_000),
+}
+
+// Guards against a job row of another writer that makes each leader run out of memory, or distorts
+// the sums over all jobs. The other rows are read.
+func TestLoader_OddJobRows(t *testing.T) {
+	l, s := newWritableLedger(t)
+	good := &job.Job{ID: "a000000000000001", Steps: []job.Step{{Tasks: 1}}}
+	must.NoError(t, l.Accept(t.Context(), good))
+	n := 0
+	for _, value := range oddJobs {
+		n++
+		writeRow(t, s, "jobs", "a", fmt.Sprintf("a%015x", n+1), value)
+	}
+	for _, id := range []string{"a", "a0000000000000020", "a00000000000000g"} {
+		n++
+		writeRow(t, s, "jobs", "a", id, `{"steps":[{"tasks":1}]}`)
+	}
+	loaded, err := l.NewLoader().Run(t.Context())
+	must.NoError(t, err)
+	followed, err := l.FollowJobs(t.Context(), 0, time.Second)
+	must.NoError(t, err)
+	for _, contents := range []*ledger.Contents{loaded, followed} {
+		test.Len(t, n, contents.Unreadable)
+		must.Len(t, 1, contents.Jobs)
+		test.Eq(t, good.ID, contents.Jobs[0].ID)
+	}
+}
