ledger: do not run a job whose progress cannot be read

A progress row that could not be decoded was skipped, but its job was loaded as one without progress: tasks that were done, and jobs that had ended, ran again. The row of a compacted job was deleted for the same reason, so its state was lost.

Such a job is now left out until its progress can be read; an unknown state, which the planner took for a running one, counts as unreadable too.

--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -117,36 +119,56 @@
 			stored[row.Key] = true
 			if bytes.Equal(row.Value, compactedJob) {
 				ended[row.Key] = true
-				continue
 			}
-			c.addJob(DecodeJob(row.Key, row.Value))
 		}
 		for _, row := range d.cancels[i].rows {
 			c.Cancels = append(c.Cancels, row.Key)
 		}
 	}
-	for _, row := range d.progress {
+	unknownProgress := c.addProgress(d.progress, stored)
+	for i := range jobParts {
+		for _, row := range d.jobs[i].rows {
+			if !ended[row.Key] && !unknownProgress[row.Key] {
+				c.addJob(DecodeJob(row.Key, row.Value))
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(ended)) {
+		switch p := c.Progress[id]; {
+		case unknownProgress[id]:
+		case p != nil && p.State.Terminal():
+			c.Jobs = append(c.Jobs, &job.Job{ID: id})
+		default:
+			// A compacted job without progress is left from an interrupted deletion.
+			c.PartiallyDeleted = append(c.PartiallyDeleted, id)
+		}
+	}
+	return c
+}
+
+// addProgress decodes the rows of progress and returns the ids of jobs whose progress cannot be
+// decoded. Such a job must not run: tasks that are done would run again.
+func (c *Contents) addProgress(rows []store.Row, stored map[string]bool) (unknown map[string]bool) {
+	unknown = map[string]bool{}
+	for _, row := range rows {
 		if !stored[row.Key] {
 			c.PartiallyDeleted = append(c.PartiallyDeleted, row.Key)
 			continue
 		}
 		var p planner.Progress
-		if err := json.Unmarshal(row.Value, &p); err != nil {
-			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, err))
+		if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
+			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress)))
+			unknown[row.Key] = true
 			continue
 		}
 		c.Progress[row.Key] = &p
 		c.progressVersions[row.Key] = row.Version
-		if ended[row.Key] && p.State.Terminal() {
-			c.Jobs = append(c.Jobs, &job.Job{ID: row.Key})
-			delete(ended, row.Key)
-		}
 	}
-	// A compacted job without progress is left from an interrupted deletion.
-	c.PartiallyDeleted = append(c.PartiallyDeleted, slices.Sorted(maps.Keys(ended))...)
-	return c
+	return unknown
 }
 
+var errInvalidProgress = errors.New("unknown state or negative number")
+
 // ReadJob reads the job and the progress of one id. Jobs is empty if the job is not stored.
 func (l *Ledger) ReadJob(ctx context.Context, id string) (*Contents, error) {
 	d := Loader{ledger: l, progressRead: true}
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -91,3 +91,34 @@
 		test.Eq(t, good.ID, contents.Jobs[0].ID)
 	}
 }
+
+// Guards against a job that runs again because its progress cannot be read, and against an ended
+// one that is deleted for that reason.
+func TestLoader_OddProgressRows(t *testing.T) {
+	l, s := newWritableLedger(t)
+	held := beginTerm(t, l, "p1")
+	const good, compacted = "a000000000000001", "a0000000000000ff"
+	accept := func(id string) {
+		must.NoError(t, l.Accept(t.Context(), &job.Job{ID: id, Steps: []job.Step{{Tasks: 1}}}))
+	}
+	accept(good)
+	accept(compacted)
+	must.NoError(t, held.Commit(t.Context(), progressChange(good, job.Completed)))
+	must.NoError(t, held.CompactJobs(t.Context(), []string{compacted}))
+	odd := []string{
+		`odd`, `[]`, `{}`, `null`, `{"state":"odd"}`, `{"state":7}`, `{"state":"running","before":1e300}`, `{"state":"running","before":-1}`,
+		`{"state":"running","open":{"-1":{}}}`, `{"state":"running","open":{"0":{"failures":{"0.0":[1e300]}}}}`, strings.Repeat(`[`, 20_000),
+	}
+	for i, value := range odd {
+		id := fmt.Sprintf("a%015x", 2+i)
+		accept(id)
+		writeRow(t, s, "progress", "main", id, value)
+	}
+	writeRow(t, s, "progress", "main", compacted, "odd")
+	contents, err := l.NewLoader().Run(t.Context())
+	must.NoError(t, err)
+	test.Len(t, len(odd)+1, contents.Unreadable)
+	must.Len(t, 1, contents.Jobs)
+	test.Eq(t, good, contents.Jobs[0].ID)
+	test.SliceEmpty(t, contents.PartiallyDeleted)
+}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -17,6 +17,21 @@
 	Open map[int]*OccurrenceProgress `json:"open,omitempty"`
 }
 
+// Valid reports whether the state is one of package job and no occurrence has a negative number.
+func (pr *Progress) Valid() bool {
+	switch pr.State {
+	case job.Queued, job.Running, job.Completed, job.Failed, job.Cancelled:
+	default:
+		return false
+	}
+	for k := range pr.Open {
+		if k < 0 {
+			return false
+		}
+	}
+	return pr.DoneBefore >= 0
+}
+
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
 	// Complete is set if all tasks are done.
