site: ignore rows of the operator table in other parts

The whole table is read from the empty part, but a feed returns the rows of all parts, and rows were told apart by their key alone. A row 'config' in another part replaced the configuration's row; if it could not be decoded, the settings counted as out of date until the operator wrote again, so an unknown route was answered with 503, not 404, and no peer received the settings. A row 'evacuate/Z' there drained zone Z.

--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -203,6 +203,8 @@
 
 // update applies the changes up to a version. It is called with the lock held.
 func (w *Watcher) update(rows []store.Row, version int64) {
+	// The operator settings have no part, and a feed returns the rows of all parts.
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row store.Row) bool { return row.Part != "" })
 	for _, row := range rows {
 		if row.Deleted {
 			delete(w.rows, row.Key)
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -240,3 +240,42 @@
 		group.Wait()
 	})
 }
+
+// partStore has an empty table, whose feed returns one row of another part.
+type partStore struct {
+	store.Store
+	sent bool
+}
+
+func (s *partStore) Read(context.Context, store.ReadRequest, int) (store.Page, error) {
+	return store.Page{Version: 1}, nil
+}
+
+func (s *partStore) Feed(ctx context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
+	if !s.sent {
+		s.sent = true
+		return []store.Row{{Table: "op", Part: "odd", Key: "config", Value: []byte("odd"), Version: 2}}, 2, nil
+	}
+	time.Sleep(c.Wait)
+	return nil, c.After, ctx.Err()
+}
+
+// Guards against a row of another part that replaces the operator settings: if it cannot be
+// decoded, the settings count as out of date for ever.
+func TestWatcher_IgnoresOtherParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatcher(&partStore{})
+		w.Decode = func(state *site.State, row store.Row) (*site.State, error) {
+			return state, errors.New("odd row " + row.Part + "/" + row.Key)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		test.ErrorIs(t, w.Run(ctx), context.DeadlineExceeded)
+		age, known := w.Age()
+		test.True(t, known)
+		test.LessEq(t, 2*time.Second, age)
+		snapshot, _ := w.Snapshot(0)
+		test.SliceEmpty(t, snapshot.Rows)
+		test.Eq(t, 2, snapshot.Version)
+	})
+}
