planner: bound the open tasks of a scheduled job

MaxTasks is the bound of all tasks of a job that may be open at once, but only one occurrence was checked. A valid job of 10,000 occurrences that were due long ago opened them all when it was added, with up to 200 million tasks: the leader would run out of memory, and each later leader again, since the job is stored.

Further occurrences are now opened once earlier ones are done. They are opened in order, so the next leader opens at least those that have progress, and keeps the recovered progress for later ones.

On the code before, TestPlanner_ManyOccurrencesDueAtOnce failed: 250,000 tasks were open, not 20,000. The end of a process was not provoked.

--- /dev/null
+++ b/internal/planner/odd_test.go
@@ -0,0 +1,58 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+)
+
+// Guards against a valid job that makes each leader run out of memory: all of its occurrences are
+// due at once, with up to MaxTasks tasks each.
+func TestPlanner_ManyOccurrencesDueAtOnce(t *testing.T) {
+	const tasks, occurrences = job.MaxTasks / 4, 50
+	j := testJob(1, job.Step{Tasks: tasks, CPU: 1, Estimate: time.Second})
+	j.Occurrences, j.Interval, j.Start = occurrences, time.Millisecond, time.Unix(0, 0)
+	must.NoError(t, j.Validate())
+	f := newFixture(t, 1)
+	f.add(j, nil, false)
+	js := f.jobs[j.ID]
+	openTasks := func(js *jobState) int {
+		n := 0
+		for _, occ := range js.open {
+			for i := range occ.steps {
+				n += len(occ.steps[i].tasks)
+			}
+		}
+		return n
+	}
+	finish := func(occurrence int) {
+		for i := range tasks {
+			f.RunEnded(f.now, "a", job.End{Run: job.Run{Task: job.Task{Job: j.ID, Occurrence: occurrence, Index: i}, Number: 1}, Reason: job.EndDone})
+		}
+	}
+	test.Eq(t, job.MaxTasks, openTasks(js))
+	finish(2)
+	f.plan()
+	test.Eq(t, job.MaxTasks, openTasks(js))
+	test.Eq(t, 5, js.opened)
+
+	// A later term opens the same occurrences, and the others after them.
+	progress := js.progress()
+	f = newFixture(t, 2)
+	f.add(j, progress, true)
+	js = f.jobs[j.ID]
+	test.Eq(t, 5, js.opened)
+	test.MapNotContainsKey(t, js.open, 2)
+	for k := range occurrences {
+		if k != 2 {
+			finish(k)
+		}
+		f.plan()
+		must.LessEq(t, job.MaxTasks, openTasks(js))
+	}
+	test.Eq(t, job.Completed, js.state)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -42,7 +42,7 @@
 	p.expireLeases(now.Mono)
 	for js := range p.scheduled {
 		p.currentJob = js.job.ID
-		p.openDueOccurrences(now, js, nil)
+		p.openDueOccurrences(now, js)
 		if js.opened == js.job.OccurrenceCount() {
 			delete(p.scheduled, js)
 			p.completeIfDone(now.Mono, js)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -130,9 +130,12 @@
 	acceptedAt time.Duration
 	durations  durations
 	// opened is the number of occurrences that were opened; open holds those that are
-	// not done.
-	opened int
-	open   map[int]*occurrence
+	// not done. occurrenceTasks is the number of tasks of one.
+	opened          int
+	open            map[int]*occurrence
+	occurrenceTasks int
+	// recoveredProgress is the progress with which the job was added, nil if there was none.
+	recoveredProgress *Progress
 	// liveRuns counts the job's live runs.
 	liveRuns int
 	// workingRuns counts the job's working runs. While it is 0, idleSince is when the last
@@ -224,6 +227,9 @@
 		job: j, state: job.Queued, storedState: job.Queued, recovered: recovered,
 		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.bias[j.Queue.Name]), open: map[int]*occurrence{},
 	}
+	for i := range j.Steps {
+		js.occurrenceTasks += j.Steps[i].Tasks
+	}
 	p.jobs[j.ID] = js
 	if progress != nil {
 		js.storedState = progress.State
@@ -233,25 +239,32 @@
 			return
 		}
 	}
-	p.openDueOccurrences(now, js, progress)
+	js.recoveredProgress = progress
+	p.openDueOccurrences(now, js)
 	if js.opened < j.OccurrenceCount() {
 		p.scheduled[js] = struct{}{}
 	}
 	p.completeIfDone(now.Mono, js)
 }
 
-// openDueOccurrences opens the occurrences that are due, or will be within EarlyStart/2.
-func (p *Planner) openDueOccurrences(now Instant, js *jobState, progress *Progress) {
+// openDueOccurrences opens the occurrences that are due, or will be within EarlyStart/2. Those
+// that exceed job.MaxTasks together with the open ones are opened once these are done.
+func (p *Planner) openDueOccurrences(now Instant, js *jobState) {
+	progress := js.recoveredProgress
 	for js.opened < js.job.OccurrenceCount() {
 		k := js.opened
 		due := js.job.Due(k)
 		if js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
 			return
 		}
-		js.opened++
 		if progress.occurrenceDone(k) {
+			js.opened++
 			continue
 		}
+		if len(js.open) > 0 && (len(js.open)+1)*js.occurrenceTasks > job.MaxTasks {
+			return
+		}
+		js.opened++
 		occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
 		if js.job.Occurrences > 0 {
 			occ.due = now.Mono - now.Wall.Sub(due)
