leader: keep an agent's address when another writer replaces its row

A registration was used as it stood: after a row with a port out of range in place of a connected agent's, the leader could not reconnect to the agent after a lost session, and nothing started there until the agent registered again. An address with a host name was looked up and called every 1.6 s for the rest of the term.

A value that is not an IP address with a port now leaves the known address in force; an agent without one is not dialled. It still counts as an agent that may have runs, so a new leader waits for it like for a lost one, and removes the row when its leases have expired.

--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -69,11 +70,17 @@
 	outPending chan struct{}
 }
 
+var errNoAddress = errors.New("agent has no usable address")
+
 // addConn opens a connection to an agent or updates it with a new registration. It is called
 // with the leadership's lock held.
 func (r *leadership) addConn(id string, a ledger.Agent) {
+	if a.Address == "" {
+		unusableAddresses.Inc()
+		r.opts.Logger.WithField("agent", id).Warn("registration has no usable address")
+	}
 	if conn := r.conns[id]; conn != nil {
-		conn.address = a.Address
+		conn.address = cmp.Or(a.Address, conn.address)
 		conn.setRegistered(r.opts.Now(), a.Version)
 		return
 	}
@@ -111,6 +118,9 @@
 	r.mu.Lock()
 	address := c.address
 	r.mu.Unlock()
+	if address == "" {
+		return false, errNoAddress
+	}
 	dialCtx, cancel := context.WithTimeout(r.ctx, agentDialTimeout)
 	defer cancel()
 	session, err := wire.Dial(dialCtx, address, nil)
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -11,19 +11,20 @@
 
 // Metrics of the leading entry; they stay 0 on the other entries.
 var (
-	startsTotal     = metrics.NewCounter("bamboowood_starts_ordered_total")
-	stopsTotal      = metrics.NewCounter("bamboowood_stops_ordered_total")
-	throttlesTotal  = metrics.NewCounter("bamboowood_paces_ordered_total")
-	deferralsTotal  = metrics.NewCounter("bamboowood_jobs_yielded_total")
-	termsLedTotal   = metrics.NewCounter("bamboowood_terms_led_total")
-	renewFailures   = metrics.NewCounter("bamboowood_term_renewals_failed_total")
-	jobsQuarantined = metrics.NewCounter("bamboowood_jobs_set_aside_total")
-	unreadableTerms = metrics.NewCounter("bamboowood_terms_unreadable_total")
-	rowsUnreadable  = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
-	adviceFailures  = metrics.NewCounter("bamboowood_advice_failed_total")
-	commitSeconds   = metrics.NewHistogram("bamboowood_ledger_commit_seconds")
-	planSeconds     = metrics.NewHistogram("bamboowood_plan_seconds")
-	jobSeconds      = metrics.NewHistogram("bamboowood_job_seconds")
+	startsTotal       = metrics.NewCounter("bamboowood_starts_ordered_total")
+	stopsTotal        = metrics.NewCounter("bamboowood_stops_ordered_total")
+	throttlesTotal    = metrics.NewCounter("bamboowood_paces_ordered_total")
+	deferralsTotal    = metrics.NewCounter("bamboowood_jobs_yielded_total")
+	termsLedTotal     = metrics.NewCounter("bamboowood_terms_led_total")
+	renewFailures     = metrics.NewCounter("bamboowood_term_renewals_failed_total")
+	jobsQuarantined   = metrics.NewCounter("bamboowood_jobs_set_aside_total")
+	unreadableTerms   = metrics.NewCounter("bamboowood_terms_unreadable_total")
+	rowsUnreadable    = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
+	unusableAddresses = metrics.NewCounter("bamboowood_agents_without_address_total")
+	adviceFailures    = metrics.NewCounter("bamboowood_advice_failed_total")
+	commitSeconds     = metrics.NewHistogram("bamboowood_ledger_commit_seconds")
+	planSeconds       = metrics.NewHistogram("bamboowood_plan_seconds")
+	jobSeconds        = metrics.NewHistogram("bamboowood_job_seconds")
 )
 
 func countOrders(o planner.Orders) {
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,73 @@
 		})
 	}
 }
+
+// Guards against agent rows of another writer that hold back jobs for longer than a lost agent
+// does: a new job starts at once, a recovered one when the leases of unreachable agents have
+// expired. The rows are removed then.
+func TestLeader_OddAgentRows(t *testing.T) {
+	t.Parallel()
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	odd := map[string]string{
+		"port out of range": "127.0.0.1:65536", "no port": "127.0.0.1", "no address": "odd", "nothing listens": "127.0.0.1:1",
+		"negative": "127.0.0.1:-1", "port zero": "127.0.0.1:0", "zone": "[::1%odd]:1", "nested": "[[[[", "\x00": "\x00",
+		"name": "odd.invalid:80",
+	}
+	for name, address := range odd {
+		writeRow(t, hooked, "agents", name, address)
+	}
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	began := time.Now()
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	starts := func(n int) func(*wirepb.LeaderMessage) bool {
+		return func(m *wirepb.LeaderMessage) bool {
+			for _, o := range m.Starts {
+				if strings.HasPrefix(o.Details.Run.Task, testJob(n).ID) {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(2)))
+	a.await(t, starts(2))
+	test.Less(t, 2*time.Second, time.Since(began))
+	test.Zero(t, a.count(starts(1)))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return a.count(starts(1)) > 0 }),
+		wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
+	test.Less(t, grantValidity+5*time.Second+leaseMargin+time.Second, time.Since(began))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		agents, _, err := jobLedger.Agents(t.Context())
+		return err == nil && len(agents) == 1
+	}), wait.Timeout(5*time.Second), wait.Gap(50*time.Millisecond)))
+	// Rows that appear during a term do not hold back jobs either.
+	for name, address := range odd {
+		writeRow(t, hooked, "agents", name, address)
+	}
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(3)))
+	a.await(t, starts(3))
+}
+
+// Guards against a row of another writer in place of a connected agent's that keeps the leader from
+// reconnecting to the agent.
+func TestLeader_OddRowOfConnectedAgent(t *testing.T) {
+	t.Parallel()
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	a.await(t, hasGrant)
+	writeRow(t, hooked, "agents", "a", "127.0.0.1:65536")
+	time.Sleep(200 * time.Millisecond)
+	a.closeSessions()
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	began := time.Now()
+	a.await(t, hasStarts)
+	test.Less(t, 3*time.Second, time.Since(began))
+}
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"bamboowood/internal/store"
@@ -26,6 +27,8 @@
 
 // Agent is an agent's registration.
 type Agent struct {
+	// Address is empty if it is not an IP address with a port: another writer has replaced the
+	// row, and the agent may still have runs.
 	Address string
 	// Version changes with each registration.
 	Version int64
@@ -54,12 +57,22 @@
 	found := map[string]Agent{}
 	for _, row := range rows {
 		if !row.Deleted && row.Part == mainPart {
-			found[row.Key] = Agent{Address: string(row.Value), Version: row.Version}
+			found[row.Key] = Agent{Address: usableAddress(row.Value), Version: row.Version}
 		}
 	}
 	return found
 }
 
+// usableAddress returns the address in a row's value, or "" if it cannot be dialled without a
+// lookup.
+func usableAddress(value []byte) string {
+	address, err := netip.ParseAddrPort(string(value))
+	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
+		return ""
+	}
+	return string(value)
+}
+
 // RemoveAgent deletes the registration of a dead agent, given by its version. A later
 // registration stays, even if the store executes the call late.
 func (h *HeldTerm) RemoveAgent(ctx context.Context, name string, version int64) error {
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -122,3 +122,29 @@
 	test.Eq(t, good, contents.Jobs[0].ID)
 	test.SliceEmpty(t, contents.PartiallyDeleted)
 }
+
+// Guards against looking up and calling hosts that another writer has put in place of an agent's
+// address. The agent is still returned, since it may have runs.
+func TestAgents_OddAddresses(t *testing.T) {
+	l, s := newWritableLedger(t)
+	must.NoError(t, l.RegisterAgent(t.Context(), "good", "10.0.0.1:1"))
+	must.NoError(t, l.RegisterAgent(t.Context(), "good6", "[::1]:65535"))
+	odd := []string{"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", ":80", "example.invalid:80", "[fe80::1%eth0]:80", "\x00", "[[[["}
+	for i, address := range odd {
+		writeRow(t, s, "agents", "main", fmt.Sprint("odd", i), address)
+	}
+	agents, _, err := l.Agents(t.Context())
+	must.NoError(t, err)
+	followed, _, err := l.FollowAgents(t.Context(), 0, time.Second)
+	must.NoError(t, err)
+	for _, found := range []map[string]ledger.Agent{agents, followed} {
+		must.MapLen(t, len(odd)+2, found)
+		for name, agent := range found {
+			if strings.HasPrefix(name, "good") {
+				test.NotEq(t, "", agent.Address)
+			} else {
+				test.Eq(t, "", agent.Address, test.Sprint(name))
+			}
+		}
+	}
+}
