job: refuse or limit the remaining numbers out of range

A job with a latency target of 1e300 ms, a negative one or a negative mayMiss was accepted; a first occurrence before the year 0 could not be encoded, so its caller got 503 and tried again for ever. All are refused as invalid now. The objective of a job with an extreme stretch or slack, which only another writer stores, was negative on x86-64 or when its two parts overflowed; each part is now limited to 10 years.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -140,9 +140,11 @@
 }
 
 // Objective returns the latency objective of one occurrence, from its due time, if the job's
-// critical path takes the given time.
+// critical path takes the given time. Each of its two parts is at most MaxAhead, since a
+// conversion out of range and a sum that overflows would be negative.
 func (j *Job) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(criticalPath)) + j.Queue.Slack
+	stretched := time.Duration(max(min(j.Queue.Stretch*float64(criticalPath), float64(MaxAhead)), 0))
+	return stretched + max(min(j.Queue.Slack, MaxAhead), 0)
 }
 
 // Exceeds reports whether a task of the job requests more than the given resources. The CPU of
@@ -172,6 +174,9 @@
 	if j.Occurrences > 1 && j.Interval <= 0 {
 		return fmt.Errorf("interval of a scheduled job must be positive")
 	}
+	if !j.Start.IsZero() && j.Start.Before(time.Unix(0, 0)) {
+		return fmt.Errorf("the first occurrence is due before 1970")
+	}
 	if j.Interval > MaxAhead/time.Duration(j.OccurrenceCount()) || time.Until(j.Start) > MaxAhead {
 		return fmt.Errorf("an occurrence is due later than in %s", MaxAhead)
 	}
@@ -219,6 +224,9 @@
 }
 
 func (s *Step) validate(index int) error {
+	if s.LatencyTarget < 0 || s.LatencyTarget > MaxEstimate || s.MaxUnavailable < 0 {
+		return fmt.Errorf("a latency target is not in 0 to %s or the number of unavailable tasks is negative", MaxEstimate)
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("after: step %d is not an earlier step", before)
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -58,12 +58,17 @@
 // Numbers at the limits of their types are refused, since sums of them would overflow.
 func TestValidate_ExtremeNumbers(t *testing.T) {
 	for name, change := range map[string]func(*Job){
-		"cpu":      func(j *Job) { j.Steps[0].CPU = math.MaxInt64 },
-		"memory":   func(j *Job) { j.Steps[0].MemoryMB = math.MaxInt64 },
-		"gpus":     func(j *Job) { j.Steps[0].GPUs = math.MaxInt64 },
-		"estimate": func(j *Job) { j.Steps[0].Estimate = math.MaxInt64 },
-		"interval": func(j *Job) { j.Occurrences, j.Interval = 2, math.MaxInt64 },
-		"start":    func(j *Job) { j.Occurrences, j.Start = 1, time.UnixMilli(math.MaxInt64/2) },
+		"cpu":                  func(j *Job) { j.Steps[0].CPU = math.MaxInt64 },
+		"memory":               func(j *Job) { j.Steps[0].MemoryMB = math.MaxInt64 },
+		"gpus":                 func(j *Job) { j.Steps[0].GPUs = math.MaxInt64 },
+		"estimate":             func(j *Job) { j.Steps[0].Estimate = math.MaxInt64 },
+		"target":               func(j *Job) { j.Steps[0].LatencyTarget = math.MaxInt64 },
+		"before 1970":          func(j *Job) { j.Occurrences, j.Start = 1, time.UnixMilli(-1) },
+		"before year 0":        func(j *Job) { j.Occurrences, j.Start = 1, time.UnixMilli(math.MinInt64/2) },
+		"negative target":      func(j *Job) { j.Steps[0].LatencyTarget = -1 },
+		"negative unavailable": func(j *Job) { j.Steps[0].MaxUnavailable = -1 },
+		"interval":             func(j *Job) { j.Occurrences, j.Interval = 2, math.MaxInt64 },
+		"start":                func(j *Job) { j.Occurrences, j.Start = 1, time.UnixMilli(math.MaxInt64/2) },
 	} {
 		j := &Job{ID: "00000000000000a1", Steps: []Step{{Tasks: 1, CPU: 1}}}
 		must.NoError(t, j.Validate())
@@ -71,3 +76,21 @@
 		test.Error(t, j.Validate(), test.Sprint(name))
 	}
 }
+
+// Guards against an objective that is negative, since its conversion or its sum is out of range.
+func TestObjective_ExtremeNumbers(t *testing.T) {
+	for _, q := range []Queue{
+		{Stretch: 1e300},
+		{Slack: math.MaxInt64},
+		{Stretch: 1e300, Slack: math.MaxInt64},
+		{Stretch: 2, Slack: math.MaxInt64},
+		{Stretch: -1e300, Slack: time.Second},
+		{Stretch: 1, Slack: math.MinInt64},
+	} {
+		j := Job{Queue: q}
+		for _, criticalPath := range []time.Duration{0, time.Second, MaxSteps * MaxEstimate} {
+			objective := j.Objective(criticalPath)
+			test.Between(t, 0, objective, 2*MaxAhead, test.Sprintf("%+v, %s", q, criticalPath))
+		}
+	}
+}
