state: skip an unreadable row of a list

One row that could not be decoded failed the reading of all rows with its prefix: with an odd row of a VM, zone, queue or peak no task was placed any more, with one of a service, team or kind the configuration could not be loaded, with one of a lease no VM was recovered, and queries failed. Such a row is now skipped, counted, and logged at a bounded rate.

--- a/internal/query/snapshot.go
+++ b/internal/query/snapshot.go
@@ -106,11 +106,7 @@
 			return nil, fmt.Errorf("list %s: %w", prefix, err)
 		}
 		for _, raw := range page.Rows {
-			row, err := state.Decode[T](raw)
-			if err != nil {
-				return nil, err
-			}
-			if keep(row.Value) {
+			if row, ok := state.DecodeListed[T](raw, prefix); ok && keep(row.Value) {
 				values = append(values, row.Value)
 			}
 		}
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -197,8 +197,8 @@
 			id := strings.TrimPrefix(raw.Key, prefix)
 			row, ok := cached[id]
 			if !ok || row.Version != raw.Version {
-				if row, err = state.Decode[T](raw); err != nil {
-					return nil, err
+				if row, ok = state.DecodeListed[T](raw, prefix); !ok {
+					continue
 				}
 			}
 			rows[id] = row
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,8 +7,12 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"bamboowood/internal/platform"
 	"bamboowood/internal/structs"
@@ -43,7 +47,8 @@
 	return Decode[T](raw)
 }
 
-// List reads all rows whose keys have the prefix, page by page.
+// List reads all rows whose keys have the prefix, page by page. It skips the rows for which
+// DecodeListed returns false.
 func List[T any](ctx context.Context, table platform.Table, prefix string) ([]Row[T], error) {
 	var rows []Row[T]
 	after := ""
@@ -53,11 +58,9 @@
 			return nil, fmt.Errorf("list %s: %w", prefix, err)
 		}
 		for _, raw := range page.Rows {
-			row, err := Decode[T](raw)
-			if err != nil {
-				return nil, err
+			if row, ok := DecodeListed[T](raw, prefix); ok {
+				rows = append(rows, row)
 			}
-			rows = append(rows, row)
 		}
 		if page.Next == "" {
 			return rows, nil
@@ -66,6 +69,24 @@
 	}
 }
 
+// rowLogs bounds the log lines of skipped rows, which are listed again and again.
+var rowLogs = rate.NewLimiter(rate.Every(time.Minute), 10)
+
+// DecodeListed decodes a row of a list by prefix. It logs and counts a row that cannot be decoded
+// and returns false: another writer has left it, and it must not keep the other rows from being
+// used.
+func DecodeListed[T any](raw platform.Row, prefix string) (Row[T], bool) {
+	row, err := Decode[T](raw)
+	if err == nil {
+		return row, true
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_state_rows_unreadable_total{prefix=%q}", prefix)).Inc()
+	if rowLogs.Allow() {
+		log.WithError(err).WithField("key", raw.Key).Error("unreadable row skipped")
+	}
+	return row, false
+}
+
 // Decode decodes a stored row.
 func Decode[T any](raw platform.Row) (Row[T], error) {
 	row := Row[T]{Key: raw.Key, Version: raw.Version}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -129,3 +130,22 @@
 		must.Eq(t, !applied, errors.Is(err, platform.ErrConflict))
 	}
 }
+
+// Guards against one odd row that keeps all others with its prefix from being read: it is skipped.
+func TestList_OddRowAmongOthers(t *testing.T) {
+	table := standin.NewTable()
+	good := structs.VM{ID: "good", Zone: "a", Capacity: structs.Resources{MilliCPU: 1000}}
+	put(t, table, "vm/good", good)
+	put(t, table, "vm/other-type", "x")
+	for key, value := range map[string]string{
+		"no-json": "odd", "empty": "", "number": `{"tx":"x","data":{"id":"number","capacity":{"milli_cpu":1e300}}}`, "no-data": `{"tx":"x"}`,
+		"nested": `{"tx":"x","data":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	} {
+		_, err := table.Commit(t.Context(), platform.Tx{Writes: []platform.Write{{Key: "vm/" + key, Value: []byte(value)}}})
+		must.NoError(t, err)
+	}
+	rows, err := state.List[structs.VM](t.Context(), table, state.VMPrefix)
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+	must.Eq(t, good, rows[0].Value)
+}
