state: skip a row that names another VM or task

Rows were used by what their value names, whatever their key. A revoked lease at the key 'lease/odd' that named a live VM requeued the tasks of that VM while they ran; a second row of a VM would count its capacity twice. A negative capacity, or one of 2^62, would distort the sums over all VMs.

The rows of VMs, leases and queue entries must now have the key of what they name, and amounts from 0 to 2^40; others are skipped like unreadable ones.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -72,11 +72,14 @@
 // rowLogs bounds the log lines of skipped rows, which are listed again and again.
 var rowLogs = rate.NewLimiter(rate.Every(time.Minute), 10)
 
-// DecodeListed decodes a row of a list by prefix. It logs and counts a row that cannot be decoded
-// and returns false: another writer has left it, and it must not keep the other rows from being
-// used.
+// DecodeListed decodes a row of a list by prefix. It logs and counts a row that cannot be decoded,
+// or that the method CheckRow of its type refuses for its key, and returns false: another writer
+// has left it, and it must not keep the other rows from being used.
 func DecodeListed[T any](raw platform.Row, prefix string) (Row[T], bool) {
 	row, err := Decode[T](raw)
+	if checked, ok := any(row.Value).(interface{ CheckRow(key string) error }); ok && err == nil {
+		err = checked.CheckRow(raw.Key)
+	}
 	if err == nil {
 		return row, true
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -136,6 +136,13 @@
 	table := standin.NewTable()
 	good := structs.VM{ID: "good", Zone: "a", Capacity: structs.Resources{MilliCPU: 1000}}
 	put(t, table, "vm/good", good)
+	put(t, table, "vm/other-name", structs.VM{ID: "good"})
+	put(t, table, "vm/no-name", structs.VM{})
+	put(t, table, "vm/negative", structs.VM{ID: "negative", Capacity: structs.Resources{MilliCPU: -1}})
+	put(t, table, "vm/too-large", structs.VM{ID: "too-large", Capacity: structs.Resources{MemoryMB: structs.MaxAmount + 1}})
+	put(t, table, "vm/tasks", structs.VM{ID: "tasks", Tasks: map[string]structs.Reservation{
+		"t": {Resources: structs.Resources{MilliCPU: -1 << 62}},
+	}})
 	put(t, table, "vm/other-type", "x")
 	for key, value := range map[string]string{
 		"no-json": "odd", "empty": "", "number": `{"tx":"x","data":{"id":"number","capacity":{"milli_cpu":1e300}}}`, "no-data": `{"tx":"x"}`,
