planner: limit the reported CPU of a run to that of its runner

The model of interference is shared by all runners. One report of a run with 2^40 thousandths of a core counted as 69 million whole runners and outweighed all others: the estimated pressure of its image on the latency-critical image beside it fell to none, so best-effort tasks of that image were placed and sped up beside all tasks of that image.

On the code before, TestObserveInterference_ImpossibleCPU failed: the pressure was 0.00 after an impossible report, and 2.56 after one of the whole CPU.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -56,7 +56,8 @@
 	shares := map[string]float64{}
 	for _, r := range a.runs {
 		if r.step.step.BestEffort && r.cpu > 0 {
-			shares[r.step.step.Image] += a.cpuShareOf(r.cpu)
+			// A report of more than the whole CPU is wrong, and would outweigh all others.
+			shares[r.step.step.Image] += min(a.cpuShareOf(r.cpu), 1)
 		}
 	}
 	steady := now >= a.steadyAt
--- a/internal/planner/odd_test.go
+++ b/internal/planner/odd_test.go
@@ -56,3 +56,19 @@
 	}
 	test.Eq(t, job.Completed, js.state)
 }
+
+// Guards against one report of an impossible CPU that outweighs all others of the image: the
+// estimated pressure, which all runners share, fell to none.
+func TestObserveInterference_ImpossibleCPU(t *testing.T) {
+	pressureAfter := func(cpu int64) float64 {
+		f := newFixture(t, 1)
+		colocated, _, bestEffort := f.colocate("dump")
+		f.report(bestEffort.Agent, bestEffort.Run, cpu)
+		f.now += time.Second
+		f.report(colocated.Agent, colocated.Run, 60)
+		return f.interference.Pressure("web", "dump")
+	}
+	whole, impossible := pressureAfter(16_000), pressureAfter(1<<40)
+	t.Logf("pressure %.2f after a report of the whole CPU, %.2f after an impossible one", whole, impossible)
+	test.Eq(t, whole, impossible)
+}
