leader: bound the label values of runs that ended or were refused

The reasons that a runner gives were used as label values as they stood, so each unknown one added a metric for the life of the process. They count as 'other' now.

--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -7,6 +7,7 @@
 
 	"bamboowood/internal/job"
 	"bamboowood/internal/planner"
+	"bamboowood/internal/runner"
 )
 
 // Metrics of the leading entry; they stay 0 on the other entries.
@@ -34,11 +35,25 @@
 	deferralsTotal.Add(len(o.Deferrals))
 }
 
+// otherReason is the label value for a reason that this module does not know.
+const otherReason = "other"
+
 func countEnd(reason job.EndReason) {
+	switch reason {
+	case job.EndDone, job.EndFailed, job.EndStopped, job.EndLeaseExpired, job.EndGangMemberLost, job.EndGangIncomplete:
+	default:
+		reason = otherReason
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_ended_total{reason=%q}", string(reason))).Inc()
 }
 
 func countRefusal(reason string) {
+	switch r := runner.Refusal(reason); r {
+	case runner.RefusedFence, runner.RefusedStale, runner.RefusedLate, runner.RefusedCapacity, runner.RefusedTicket,
+		runner.RefusedInvalid, runner.RefusedUnhealthy, runner.RefusedIncarnationEnded:
+	default:
+		reason = otherReason
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_refused_total{reason=%q}", reason)).Inc()
 }
 
