--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -107,6 +107,7 @@
 }
 
 func (r *leadership) logUnreadable(c *ledger.Contents) {
+	rowsUnreadable.Add(len(c.Unreadable))
 	for _, err := range c.Unreadable {
 		r.opts.Logger.WithError(err).Error("unreadable ledger row skipped")
 	}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -32,23 +32,27 @@
 	Process string `json:"process"`
 	// Resigned reports whether the leader has resigned from the term.
 	Resigned bool `json:"resigned,omitempty"`
+	// Unreadable is set if the row cannot be decoded or its number is out of range. Another
+	// writer has replaced it; which term it was is unknown.
+	Unreadable bool `json:"-"`
 
 	version int64
 }
 
+// maxTermNumber bounds the numbers of terms, from which run numbers are derived.
+const maxTermNumber = 1 << 32
+
 // CurrentTerm reads the current term, and the version from which FollowTerm continues.
 func (l *Ledger) CurrentTerm(ctx context.Context) (Term, int64, error) {
-	page, err := l.store.Read(ctx, store.ReadRequest{Table: termTable, Part: mainPart}, 1)
+	// The range keeps out rows with other keys, which another writer may have left.
+	page, err := l.store.Read(ctx, store.ReadRequest{Table: termTable, Part: mainPart, From: leaderKey, To: leaderKey + "\x00"}, 1)
 	if err != nil {
 		return Term{}, 0, fmt.Errorf("read term: %w", err)
 	}
-	for _, row := range page.Rows {
-		if row.Key == leaderKey {
-			t, err := decodeTerm(row)
-			return t, page.Version, err
-		}
+	if len(page.Rows) == 0 {
+		return Term{}, page.Version, nil
 	}
-	return Term{}, page.Version, nil
+	return decodeTerm(page.Rows[0]), page.Version, nil
 }
 
 // RenewalVersion returns a number that changes with each renewal of the term; 0 if there has
@@ -61,13 +65,13 @@
 	return row.Version, nil
 }
 
-func decodeTerm(row store.Row) (Term, error) {
+func decodeTerm(row store.Row) Term {
 	var t Term
-	if err := json.Unmarshal(row.Value, &t); err != nil {
-		return Term{}, fmt.Errorf("decode term: %w", err)
+	if err := json.Unmarshal(row.Value, &t); err != nil || t.Number < 1 || t.Number > maxTermNumber || t.Leader == "" {
+		return Term{Unreadable: true, version: row.Version}
 	}
 	t.version = row.Version
-	return t, nil
+	return t
 }
 
 // HeldTerm is a term that this process leads. Its methods are not safe for
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -43,7 +43,7 @@
 	p.expireLeases(now.Mono)
 	for js := range p.scheduled {
 		p.currentJob = js.job.ID
-		p.openOccurrences(now, js, nil, 0)
+		p.openOccurrences(now, js, 0)
 		if js.opened == js.job.OccurrenceCount() {
 			delete(p.scheduled, js)
 			p.completeIfDone(now.Mono, js)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -134,8 +134,12 @@
 	// opened is the number of occurrences that were opened, in order; open holds those that
 	// are not done. An occurrence is opened when it is due by this process's wall clock, or
 	// when the ledger or an agent shows that an earlier leader opened it.
-	opened int
-	open   map[int]*occurrence
+	// occurrenceTasks is the number of tasks of one.
+	opened          int
+	open            map[int]*occurrence
+	occurrenceTasks int
+	// recoveredProgress is the progress with which the job was added, nil if there was none.
+	recoveredProgress *Progress
 	// liveRuns counts the job's live runs.
 	liveRuns int
 	// workingRuns counts the job's working runs. While it is 0, idleSince is when the last
@@ -228,6 +232,9 @@
 		job: j, state: job.Queued, storedState: job.Queued, recovered: recovered,
 		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.bias[j.Queue.Name]), open: map[int]*occurrence{},
 	}
+	for i := range j.Steps {
+		js.occurrenceTasks += j.Steps[i].Tasks
+	}
 	p.jobs[j.ID] = js
 	if progress != nil {
 		js.storedState = progress.State
@@ -237,7 +244,8 @@
 			return
 		}
 	}
-	p.openOccurrences(now, js, progress, progress.openedOccurrences())
+	js.recoveredProgress = progress
+	p.openOccurrences(now, js, progress.openedOccurrences())
 	if js.opened < j.OccurrenceCount() {
 		p.scheduled[js] = struct{}{}
 	}
@@ -252,22 +260,28 @@
 		return
 	}
 	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
-	p.openOccurrences(Instant{Mono: now, Wall: wall}, js, nil, t.Occurrence+1)
+	p.openOccurrences(Instant{Mono: now, Wall: wall}, js, t.Occurrence+1)
 }
 
 // openOccurrences opens the first atLeast occurrences, and those that are due or will be
-// within EarlyStart/2. progress is that of the occurrences that have not been opened yet.
-func (p *Planner) openOccurrences(now Instant, js *jobState, progress *Progress, atLeast int) {
+// within EarlyStart/2. Those that exceed job.MaxTasks together with the open ones are opened once
+// these are done.
+func (p *Planner) openOccurrences(now Instant, js *jobState, atLeast int) {
+	progress := js.recoveredProgress
 	for js.opened < js.job.OccurrenceCount() {
 		k := js.opened
 		due := js.job.Due(k)
 		if k >= atLeast && js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
 			return
 		}
-		js.opened++
 		if progress.occurrenceDone(k) {
+			js.opened++
 			continue
 		}
+		if len(js.open) > 0 && (len(js.open)+1)*js.occurrenceTasks > job.MaxTasks {
+			return
+		}
+		js.opened++
 		occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
 		if js.job.Occurrences > 0 {
 			occ.due = now.Mono - now.Wall.Sub(due)
