soak: other writers send reports to the agents

Each report has one defect, so it names no runner to use and the agent's runner holds: a field that PROTOCOL names is missing or of another type, a state or service that isn't named, arrays 10,000 deep, a number beyond int64, a port out of range, bytes that can't be read.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -160,6 +160,7 @@
 	pausedRunner  = "pause"      // runners are paused
 	slowClock     = "slow-clock" // runners have slow clocks
 	refusedRunner = "refuse"     // runners' addresses refuse connections while they live
+	oddReport     = "odd-report" // other writers send reports to agents
 
 )
 
@@ -194,6 +195,7 @@
 				}
 			}
 		}},
+		{oddReport, 5, cl.oddReport},
 	} {
 		if !cl.options.has(option.name) {
 			continue
