soak: other writers add rows to the tables of the system

Rows with values that can't be read, are nested 10,000 deep, or name a port out of range, under new keys of agents, jobs, cancels, progress and term.

--- a/test/soak/odd_test.go
+++ b/test/soak/odd_test.go
@@ -89,3 +89,24 @@
 	}
 	return data
 }
+
+// oddRow returns a fault in which another writer adds a row to one of the tables that the system
+// lists.
+func (cl *cluster) oddRow(r *rand.Rand) (description string, run func()) {
+	id := fmt.Sprintf("%016x", r.Uint64())
+	at := pick(r, []struct{ table, part, key string }{
+		{"agents", "main", "agent-" + id},
+		{"agents", "other", "agent-" + id},
+		{"jobs", id[:1], id},
+		{"jobs", id[:1], "\xff"},
+		{"jobs", "", ""},
+		{"cancels", id[:1], id},
+		{"progress", "main", id},
+		{"term", "main", "aa"},
+	})
+	value := pick(r, []string{
+		"", "\xff\xfe", "127.0.0.1:70000", "{}", `{"steps":[{"count":18446744073709551616}]}`,
+		nested,
+	})
+	return fmt.Sprintf("row %q of %q with %.20q", at.key, at.table, value), func() { cl.store.Write(at.table, at.part, at.key, []byte(value)) }
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -79,7 +79,7 @@
 // Guards against an agent that drops runs which go on: their lease has neither ended nor is their
 // runner's VM gone.
 func TestSoak_Membership(t *testing.T) {
-	chosen := options{fallback, membership, newID, pausedRunner, slowClock, refusedRunner, oddReport}
+	chosen := options{fallback, membership, newID, pausedRunner, slowClock, refusedRunner, oddReport, oddRow}
 	if *kinds != "" {
 		chosen = strings.Split(*kinds, ",")
 	}
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -161,7 +161,7 @@
 	slowClock     = "slow-clock" // runners have slow clocks
 	refusedRunner = "refuse"     // runners' addresses refuse connections while they live
 	oddReport     = "odd-report" // other writers send reports to agents
-
+	oddRow        = "odd-row"    // other writers write to the tables of the system
 )
 
 func (o options) has(name string) bool { return slices.Contains(o, name) }
@@ -196,6 +196,7 @@
 			}
 		}},
 		{oddReport, 5, cl.oddReport},
+		{oddRow, 3, func(r *rand.Rand, _ *vm) (string, func()) { return cl.oddRow(r) }},
 	} {
 		if !cl.options.has(option.name) {
 			continue
