supervisor: pause between renewals while an end cannot be read

Cause: the runner answers at once while it holds an end. One that cannot be read is never stored, so that renewals followed each other without a pause, with a line in the log each. They now pause, and the line is written once. A checkpoint that cannot be read keeps the one before.

TestSupervisor_MalformedEntries fails without the change: the renewals never let the time go on.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -111,6 +111,9 @@
 		return reconcileInterval
 	case len(s.ends) > 0:
 		return unstoredEndsInterval
+	case report.Unreadable > 0:
+		// The runner does not wait while it holds an end, also one that cannot be read.
+		return failurePause
 	}
 	return 0
 }
@@ -241,9 +244,10 @@
 		s.runsListed = true
 	}
 	s.runnerClock, s.runnerClockAt, s.runnerClockSteadyAt = report.Clock, s.opts.Now(), s.opts.SteadyNow()
-	if report.Unreadable > 0 {
-		s.opts.Logger.WithField("entries", report.Unreadable).Warn("malformed entries in runner's report skipped")
+	if report.Unreadable > 0 && !s.listMalformed {
+		s.opts.Logger.WithError(report.UnreadableReason).WithField("entries", report.Unreadable).Warn("malformed entries in runner's report skipped")
 	}
+	s.listMalformed = report.Unreadable > 0
 	s.applyEnds(report.Ends)
 	listed := make(map[job.Run]bool, len(report.Active))
 	for _, act := range report.Active {
@@ -295,6 +299,9 @@
 	r.reportsNotListed, r.orphanedUntil = 0, 0
 	r.reconciling = false
 	wasUnconfirmed := r.activity.Unconfirmed
+	if act.CheckpointUnknown {
+		act.Checkpoint = r.activity.Checkpoint
+	}
 	r.activity = act
 	if now := s.opts.Now(); wasUnconfirmed || now-r.reportedAt >= reportInterval {
 		r.reportedAt = now
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -215,3 +215,27 @@
 
 // heartbeat is the interval at which an agent's leader grants leases.
 const heartbeat = 300 * time.Millisecond
+
+// Guards against renewals without a pause while the runner holds an end that cannot be read, and
+// against a checkpoint that is lost because one report of it cannot be read.
+func TestSupervisor_MalformedEntries(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.fake.mu.Lock()
+		h.fake.active[0].Checkpoint = "c1"
+		h.fake.mu.Unlock()
+		h.collectUpdates(time.Second)
+		h.fake.mu.Lock()
+		h.fake.active[0].Checkpoint, h.fake.active[0].CheckpointUnknown = "", true
+		h.fake.unreadable, h.fake.leaseEnds = 1, nil
+		h.fake.mu.Unlock()
+		h.collectUpdates(time.Second)
+		h.fake.mu.Lock()
+		test.LessEq(t, 15, len(h.fake.leaseEnds))
+		h.fake.mu.Unlock()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		must.Len(t, 1, snapshot.Active)
+		test.Eq(t, "c1", snapshot.Active[0].Checkpoint)
+	})
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -143,6 +143,8 @@
 	runnerClock         time.Duration
 	runnerClockAt       time.Duration
 	runnerClockSteadyAt time.Duration
+	// listMalformed is set while the runner's reports have malformed entries.
+	listMalformed bool
 	// failures counts consecutive lease renewals without an answer.
 	failures        int
 	noListenerSince time.Duration
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -42,6 +42,9 @@
 	answeredToken int64
 	// acknowledgements are the acknowledged ends other than 0 of all renewals, in order.
 	acknowledgements []int64
+	// unreadable is the number of malformed entries in each report. The runner does not wait if there
+	// are any.
+	unreadable int
 	// leaseEnds are the requested lease ends of all renewals, in order.
 	leaseEnds []time.Duration
 	startedAt time.Time
@@ -129,10 +132,10 @@
 			f.acknowledgedEnd = f.ends[0].Sequence
 			f.ends = f.ends[1:]
 		}
-		if len(f.ends) > 0 || !time.Now().Before(deadline) {
+		if len(f.ends) > 0 || f.unreadable > 0 || !time.Now().Before(deadline) {
 			defer f.mu.Unlock()
 			return runner.Report{
-				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...), Ends: append([]job.End(nil), f.ends...),
+				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...), Ends: append([]job.End(nil), f.ends...), Unreadable: f.unreadable,
 			}, nil
 		}
 		f.mu.Unlock()
