supervisor: report all runs with each change of a runner that does not answer

What callers would see: all runs of an agent are started again elsewhere while they are alive (TWICE).

Cause: while the runner's address refuses connections the agent reports no runner. A report of that runner that says draining or another capacity, or its departure, made an update that had again no runner, but only the runs that were due for a progress report. The planner takes the runs of such an update for all that may be alive, and drops the others.

Such an update now holds the full state. The test failed before, in all of its cases:

--- FAIL: TestSupervisor_ReportsOfUnreachableRunner/draining (0.00s) identity_test.go:161: expected slice to be different length len(slice): 0, expected: 1

After: internal/supervisor passes.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -134,3 +134,33 @@
 		must.Len(t, 1, u.Refusals)
 	})
 }
+
+// Guards against an update that says that no runner answers and lacks the runs that may be alive: the
+// leader takes its list of runs as complete, and started all of them elsewhere.
+func TestSupervisor_ReportsOfUnreachableRunner(t *testing.T) {
+	reports := map[string]func(*harness){
+		"draining": func(h *harness) {
+			must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2, Draining: true}))
+		},
+		"capacity": func(h *harness) {
+			must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2, Capacity: job.Resources{CPU: 1000}}))
+		},
+		"departure": func(h *harness) { h.RunnerLeft("i-1", 100) },
+	}
+	for name, send := range reports {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, nil, func(h *harness) {
+				run := h.runOn("i-1")
+				h.fake.setRenewErr(runner.ErrNoListener)
+				h.collectUpdates(2 * noListenerTimeout)
+				send(h)
+				u, ok := h.TakeUpdate()
+				must.True(t, ok)
+				must.True(t, u.RunnerChanged)
+				must.Nil(t, u.Runner)
+				must.Len(t, 1, u.Active)
+				test.Eq(t, run, u.Active[0].Run)
+			})
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -308,7 +308,12 @@
 func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
 
 func (s *Supervisor) runnerChanged() {
-	s.update.RunnerChanged, s.update.Runner = true, s.reachableRunner()
+	if s.unreachable {
+		// The leader takes the runs of an update without a runner for all that may be alive.
+		s.reportFullState()
+		return
+	}
+	s.update.RunnerChanged, s.update.Runner = true, s.runner
 	s.signal(s.notify)
 }
 
