supervisor: count the lease that an earlier process gave for the runs that it started

What callers would see: soon after a restart of the agent, its runs are started again elsewhere while they are alive (TWICE), or their tasks never run again (LOST).

Cause: until this process had given a lease, the end of the runner's lease was 0. A run that the runner listed was then left to a lease that had ended already when another incarnation answered, and dropped 0.1 s later; and if the runner stopped answering for good, it was never given up, because 0 stands for a lease that has been dealt with. Adopting another incarnation set the end to 0 as well.

The end begins as that of the longest lease of an earlier process, as for runsKnownAt, and is no longer set back by an adoption. The tests failed before:

--- FAIL: TestSupervisor_RunsOfEarlierProcessExpire expected slice to be different length: 0, expected: 1 --- FAIL: TestSupervisor_SuccessorBeforeLeaseOfEarlierProcessEnds expected slice to be different length: 1, expected: 0

After: internal/supervisor passes with -race.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -164,3 +164,39 @@
 		})
 	}
 }
+
+// Guards against runs of a runner that stopped answering soon after a restart of the agent, before this
+// process gave it a lease: they were never given up, so that their tasks never ran again.
+func TestSupervisor_RunsOfEarlierProcessExpire(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, func(f *fakeRunner) { f.active = []job.Activity{{Run: old}} }, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.fake.setRenewErr(errNoAnswer)
+		u := h.collectUpdates(testLease - time.Second)
+		test.Len(t, 0, u.Refusals)
+		u = h.collectUpdates(3 * time.Second)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, old, u.Refusals[0].Run)
+	})
+}
+
+// Guards against giving up the runs of an earlier process on this machine before the lease that it
+// gave has expired: they ran twice when the runner was replaced soon after the agent's restart.
+func TestSupervisor_SuccessorBeforeLeaseOfEarlierProcessEnds(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, func(f *fakeRunner) {
+		f.id, f.startTime, f.active = "i-1", 100, []job.Activity{{Run: old}}
+	}, func(h *harness) {
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}))
+		time.Sleep(50 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-2", 200, nil
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		u := h.collectUpdates(testLease - time.Second)
+		test.Len(t, 0, u.Refusals)
+		u = h.collectUpdates(3 * time.Second)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, old, u.Refusals[0].Run)
+	})
+}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -182,7 +182,7 @@
 	s.runner, s.left, s.unreachable = r, false, false
 	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
 	s.acknowledgedEnd, s.answeredAt = 0, 0
-	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
+	s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0
 	if restarted {
 		s.reconcileAfterRestart()
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -132,8 +132,8 @@
 	// grantedUntil is the end of the lease that the leader has granted to this agent, on
 	// Now's clock.
 	grantedUntil time.Duration
-	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the lease that this
-	// agent has given to the runner.
+	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the leases that this process or an
+	// earlier one on this machine has given to the runner.
 	runnerLeaseUntil time.Duration
 	// runnerClock is the reading of the runner's clock at runnerClockAt.
 	runnerClock   time.Duration
@@ -174,9 +174,10 @@
 
 // New returns a Supervisor. It calls the runner only while Run runs.
 func New(opts Options) *Supervisor {
+	earlierLeaseUntil := opts.Now() + opts.MaxLease + leaseMargin
 	return &Supervisor{
-		runsKnownAt: opts.Now() + opts.MaxLease + leaseMargin,
-		opts:        opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
+		runsKnownAt: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		speedController: newSpeedController(),
 	}
