--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -200,3 +200,23 @@
 		test.Eq(t, old, u.Refusals[0].Run)
 	})
 }
+
+// Guards against an update that lists a run as active beside its end: the leader took it for alive
+// after the end, and its task never ran again.
+func TestSupervisor_EndAfterPendingFullState(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		run := h.runOn("i-1")
+		h.fake.setRenewErr(runner.ErrNoListener)
+		h.collectUpdates(2 * noListenerTimeout)
+		h.fake.setRenewErr(nil)
+		// No update is taken meanwhile, as while the connection to the leader is slow.
+		time.Sleep(2 * failurePause)
+		h.fake.end(run, job.EndFailed)
+		time.Sleep(2 * failurePause)
+		u, ok := h.TakeUpdate()
+		must.True(t, ok)
+		must.NotNil(t, u.Runner)
+		must.Len(t, 1, u.Ends)
+		test.Len(t, 0, u.Active)
+	})
+}
