supervisor: report refusals and a missing answer before a restarted runner lists its runs

What callers would see: tasks that were to run on a runner that restarted and then stopped answering wait for up to two leases, 12 s where a lease is 6 s (LOST).

Cause: from the report of a restart under the same id to the first list, no update was given to the leader, so that it went on to order starts there and learned of no refusal. Where connections were refused, that ended after 0.3 s while such a runner's record was removed; since it is kept, it lasted to the end of all earlier leases.

Refusals are now reported at any time: a refused run is not alive and cannot start. A runner that does not answer is reported as none, with all runs that may be alive. The test failed before:

--- FAIL: TestSupervisor_RestartedRunnerStopsAnswering/refused --- FAIL: TestSupervisor_RestartedRunnerStopsAnswering/silent expected condition to be true; is false

After: internal/supervisor passes with -race.

--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/runner"
 )
 
 // After the runner has left and is replaced, its runs are reported as refused, and delayed reports
@@ -201,3 +202,33 @@
 
 // heartbeat is the interval at which an agent's leader grants leases.
 const heartbeat = 300 * time.Millisecond
+
+// Guards against a leader that does not learn for up to two leases that a runner has restarted and
+// stopped answering, and goes on to order starts there, of whose refusal it does not learn either.
+func TestSupervisor_RestartedRunnerStopsAnswering(t *testing.T) {
+	for name, failure := range map[string]error{"refused": runner.ErrNoListener, "silent": errNoAnswer} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, nil, func(h *harness) {
+				run := h.runOn("i-1")
+				h.fake.mu.Lock()
+				h.fake.renewErr, h.fake.answeredToken = failure, 1
+				h.fake.startTime, h.fake.active = 200, nil
+				h.fake.mu.Unlock()
+				must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}))
+				time.Sleep(2 * noListenerTimeout)
+				next := h.startRun(2)
+				time.Sleep(100 * time.Millisecond)
+				u, ok := h.TakeUpdate()
+				must.True(t, ok)
+				must.Len(t, 1, u.Refusals)
+				test.Eq(t, next, u.Refusals[0].Run)
+				if name == "refused" {
+					must.True(t, u.RunnerChanged)
+					must.Nil(t, u.Runner)
+					must.Len(t, 1, u.Active)
+					test.Eq(t, run, u.Active[0].Run)
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -194,14 +194,16 @@
 }
 
 // TakeUpdate returns the changes since the last call of TakeUpdate or Snapshot. ok is false
-// if there are none, or while the runs on a restarted runner are unknown.
+// if there are none. While the runs on a restarted runner are unknown and it counts as answering, an
+// update holds refusals only.
 func (s *Supervisor) TakeUpdate() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.restarted && !s.runsKnown() {
-		return Update{}, false
+	if s.restarted && !s.unreachable && !s.runsKnown() {
+		u.Refusals, s.update.Refusals = s.update.Refusals, nil
+	} else {
+		u, s.update = s.update, Update{}
 	}
-	u, s.update = s.update, Update{}
 	return u, !u.empty()
 }
 
