supervisor: hold no call slot while a stop waits for its next attempt

What callers would see: after a runner was replaced, tasks start on its successor only when the lease of the earlier one has ended, up to 6 s later.

Cause: each stop of an orphaned run held one of the 10 call slots until the run was dropped. The leader stops such runs, as they report no progress; ten of them leave no slot for starts and throttles on the runner that answers. The orders expire meanwhile. A stop without an answer held its slot in the same way.

A stop now takes a slot for each attempt. The test failed before:

--- FAIL: TestSupervisor_StopsOfOrphansDoNotDelayStarts slice is missing job.Run{...Number:12}

After: internal/supervisor passes with -race.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -220,3 +221,32 @@
 		test.Len(t, 0, u.Active)
 	})
 }
+
+// Guards against stops of orphaned runs, which wait for the end of a lease, that keep starts on the next
+// runner from being sent.
+func TestSupervisor_StopsOfOrphansDoNotDelayStarts(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		runs := []job.Run{}
+		for n := range int64(maxCalls) {
+			runs = append(runs, h.startRun(n+2))
+		}
+		h.collectUpdates(100 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-2", 200, nil
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		h.collectUpdates(100 * time.Millisecond)
+		ctx, cancel := context.WithCancel(h.t.Context())
+		defer cancel()
+		for _, run := range runs {
+			h.Stop(ctx, run)
+		}
+		time.Sleep(10 * time.Millisecond)
+		next := h.startRun(maxCalls + 2)
+		h.collectUpdates(500 * time.Millisecond)
+		h.fake.mu.Lock()
+		defer h.fake.mu.Unlock()
+		test.SliceContains(t, h.fake.starts, next)
+	})
+}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -36,10 +36,15 @@
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 		return
 	}
-	s.calls.Go(func() { s.start(ctx, o, r) })
+	s.calls.Go(func() {
+		if s.start(ctx, o, r) {
+			s.stopUnconfirmed(ctx, run, r)
+		}
+	})
 }
 
-func (s *Supervisor) start(ctx context.Context, o Order, r *taskRun) {
+// start sends the calls to start a run. unconfirmed is set if the start may have taken effect.
+func (s *Supervisor) start(ctx context.Context, o Order, r *taskRun) (unconfirmed bool) {
 	s.callSlots <- struct{}{}
 	defer func() { <-s.callSlots }()
 	sent := false
@@ -72,13 +77,11 @@
 		})
 		cancel()
 		if s.handleStartAnswer(o, r, fence, sent, refusal, err) {
-			return
+			return false
 		}
 		sent = true
 	}
-	if sent {
-		s.stopUnconfirmed(ctx, o.Details.Run, r)
-	}
+	return sent
 }
 
 // noLeaseReason returns the reason for which a start is refused that has no lease or has expired. It
@@ -155,11 +158,7 @@
 		return
 	}
 	r.phase = stopping
-	s.calls.Go(func() {
-		s.callSlots <- struct{}{}
-		defer func() { <-s.callSlots }()
-		s.stopUntilConfirmed(ctx, run, r)
-	})
+	s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
 }
 
 // stopUnconfirmed stops a run whose start is unconfirmed, so that a start request that is
@@ -178,18 +177,7 @@
 // stopUntilConfirmed stops a run until that is confirmed or the run is no longer on record. The
 // incarnation of an orphaned run does not answer, so that no call is sent for it.
 func (s *Supervisor) stopUntilConfirmed(ctx context.Context, run job.Run, r *taskRun) {
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		fence, ok := s.fence()
-		if !ok || s.runs[run] != r {
-			s.mu.Unlock()
-			return
-		}
-		orphaned := r.orphanedUntil != 0
-		s.mu.Unlock()
-		if !orphaned && s.stopOnce(ctx, fence, run, r) {
-			return
-		}
+	for ctx.Err() == nil && !s.stopOnce(ctx, run, r) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(stopRetryPause):
@@ -197,8 +185,18 @@
 	}
 }
 
-// stopOnce sends one call to stop a run and reports whether no further one is needed.
-func (s *Supervisor) stopOnce(ctx context.Context, fence runner.Fence, run job.Run, r *taskRun) (done bool) {
+// stopOnce sends one call to stop a run, unless it is orphaned, and reports whether no further one is
+// needed.
+func (s *Supervisor) stopOnce(ctx context.Context, run job.Run, r *taskRun) (done bool) {
+	s.callSlots <- struct{}{}
+	defer func() { <-s.callSlots }()
+	s.mu.Lock()
+	fence, ok := s.fence()
+	gone, orphaned := !ok || s.runs[run] != r, r.orphanedUntil != 0
+	s.mu.Unlock()
+	if gone || orphaned {
+		return gone
+	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	refusal, err := s.opts.Runner.Stop(callCtx, fence, run)
 	cancel()
