supervisor: do not adopt a report without a start time of a runner that names its own

Cause: a report without a start time was taken for any incarnation of the id that answers. PROTOCOL: an entry with fields missing may come from another writer and names no runner to use. The agent took it for a restart: it adopted the report's capacity and state, forgot the pending ends and adopted the runner again with its next own report, and so on with each such report.

Where the answer has a start time, the report must name the same one. The test failed before:

--- FAIL: TestSupervisor_ReportWithoutStartTime expected non-nil error; got nil

After: internal/supervisor passes with -race, platform, daemon, follower and leader pass.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -250,3 +250,16 @@
 		test.SliceContains(t, h.fake.starts, next)
 	})
 }
+
+// Guards against adopting the incarnation of a report without a start time, as of another writer, while
+// the runner names its start time.
+func TestSupervisor_ReportWithoutStartTime(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		err := h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 9})
+		test.ErrorIs(t, err, runner.ErrOtherIncarnation)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Eq(t, 100, snapshot.Runner.StartTime)
+	})
+}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -117,7 +117,7 @@
 // empty string if it is. Incarnations are ordered only where the answer has no start time.
 func (s *Supervisor) outdated(r *job.Runner, startTime int64) string {
 	switch {
-	case startTime != 0 && r.StartTime != 0:
+	case startTime != 0:
 		if startTime != r.StartTime {
 			return "another incarnation answers for its id"
 		}
