supervisor: forget a departure that a later report contradicts

What callers would see: runs of an agent are started again elsewhere while they are alive (TWICE).

Cause: a departure that names no start time applies to any incarnation of its id. One that arrives after the runner has started again under its id marked the new incarnation as left for good. Reports that say ready made it usable again, but with the next 0.3 s of refused connections its runs were dropped at once, as those of a runner that has ended.

A later report that says ready now takes the mark back. The test failed before:

--- FAIL: TestSupervisor_ReportAfterDeparture expected slice to be different length: 1, expected: 0

After: internal/supervisor passes with -race.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -263,3 +263,17 @@
 		test.Eq(t, 100, snapshot.Runner.StartTime)
 	})
 }
+
+// Guards against a late departure of an earlier incarnation under the same id that is remembered after the
+// current one has reported again: its runs were given up when connections were refused for a while.
+func TestSupervisor_ReportAfterDeparture(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.RunnerLeft("i-1", 0)
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2}))
+		h.collectUpdates(100 * time.Millisecond)
+		h.fake.setRenewErr(runner.ErrNoListener)
+		u := h.collectUpdates(2 * time.Second)
+		test.Len(t, 0, u.Refusals)
+	})
+}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -74,6 +74,10 @@
 	}
 	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
 	s.runner = r
+	if !r.Draining {
+		// The departure was that of an earlier incarnation.
+		s.left = false
+	}
 	if changed {
 		s.runnerChanged()
 	}
