--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -154,3 +155,145 @@
 		test.Eq(t, []job.Run{run}, h.fake.stops, test.Sprint("the run is refused only after a confirmed stop"))
 	})
 }
+
+// Guards against an update that says that no runner answers and lacks the runs that may be alive: the
+// leader takes its list of runs as complete, and started all of them elsewhere.
+func TestSupervisor_ReportsOfUnreachableRunner(t *testing.T) {
+	reports := map[string]func(*harness){
+		"draining": func(h *harness) {
+			must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2, Draining: true}))
+		},
+		"capacity": func(h *harness) {
+			must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2, Capacity: job.Resources{CPU: 1000}}))
+		},
+		"departure": func(h *harness) { h.RunnerLeft("i-1", 100) },
+	}
+	for name, send := range reports {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, nil, func(h *harness) {
+				run := h.runOn("i-1")
+				h.fake.setRenewErr(runner.ErrNoListener)
+				h.collectUpdates(2 * noListenerTimeout)
+				send(h)
+				u, ok := h.TakeUpdate()
+				must.True(t, ok)
+				must.True(t, u.RunnerChanged)
+				must.Nil(t, u.Runner)
+				must.Len(t, 1, u.Active)
+				test.Eq(t, run, u.Active[0].Run)
+			})
+		})
+	}
+}
+
+// Guards against runs of a runner that stopped answering soon after a restart of the agent, before this
+// process gave it a lease: they were never given up, so that their tasks never ran again.
+func TestSupervisor_RunsOfEarlierProcessExpire(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, func(f *fakeRunner) { f.active = []job.Activity{{Run: old}} }, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.fake.setRenewErr(errNoAnswer)
+		u := h.collectUpdates(testLease - time.Second)
+		test.Len(t, 0, u.Refusals)
+		u = h.collectUpdates(3 * time.Second)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, old, u.Refusals[0].Run)
+	})
+}
+
+// Guards against giving up the runs of an earlier process on this machine before the lease that it
+// gave has expired: they ran twice when the runner was replaced soon after the agent's restart.
+func TestSupervisor_SuccessorBeforeLeaseOfEarlierProcessEnds(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, func(f *fakeRunner) {
+		f.id, f.startTime, f.active = "i-1", 100, []job.Activity{{Run: old}}
+	}, func(h *harness) {
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 5}))
+		time.Sleep(50 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-2", 200, nil
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		u := h.collectUpdates(testLease - time.Second)
+		test.Len(t, 0, u.Refusals)
+		u = h.collectUpdates(3 * time.Second)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, old, u.Refusals[0].Run)
+	})
+}
+
+// Guards against an update that lists a run as active beside its end: the leader took it for alive
+// after the end, and its task never ran again.
+func TestSupervisor_EndAfterPendingFullState(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		run := h.runOn("i-1")
+		h.fake.setRenewErr(runner.ErrNoListener)
+		h.collectUpdates(2 * noListenerTimeout)
+		h.fake.setRenewErr(nil)
+		// No update is taken meanwhile, as while the connection to the leader is slow.
+		time.Sleep(2 * failurePause)
+		h.fake.end(run, job.EndFailed)
+		time.Sleep(2 * failurePause)
+		u, ok := h.TakeUpdate()
+		must.True(t, ok)
+		must.NotNil(t, u.Runner)
+		must.Len(t, 1, u.Ends)
+		test.Len(t, 0, u.Active)
+	})
+}
+
+// Guards against stops of orphaned runs, which wait for the end of a lease, that keep starts on the next
+// runner from being sent.
+func TestSupervisor_StopsOfOrphansDoNotDelayStarts(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		runs := []job.Run{}
+		for n := range int64(maxCalls) {
+			runs = append(runs, h.startRun(n+2))
+		}
+		h.collectUpdates(100 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-2", 200, nil
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		h.collectUpdates(100 * time.Millisecond)
+		ctx, cancel := context.WithCancel(h.t.Context())
+		defer cancel()
+		for _, run := range runs {
+			h.Stop(ctx, run)
+		}
+		time.Sleep(10 * time.Millisecond)
+		next := h.startRun(maxCalls + 2)
+		h.collectUpdates(500 * time.Millisecond)
+		h.fake.mu.Lock()
+		defer h.fake.mu.Unlock()
+		test.SliceContains(t, h.fake.starts, next)
+	})
+}
+
+// Guards against adopting the incarnation of a report without a start time, as of another writer, while
+// the runner names its start time.
+func TestSupervisor_ReportWithoutStartTime(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		err := h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 9})
+		test.ErrorIs(t, err, runner.ErrOtherIncarnation)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Eq(t, 100, snapshot.Runner.StartTime)
+	})
+}
+
+// Guards against a late departure of an earlier incarnation under the same id that is remembered after the
+// current one has reported again: its runs were given up when connections were refused for a while.
+func TestSupervisor_ReportAfterDeparture(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.RunnerLeft("i-1", 0)
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 2}))
+		h.collectUpdates(100 * time.Millisecond)
+		h.fake.setRenewErr(runner.ErrNoListener)
+		u := h.collectUpdates(2 * time.Second)
+		test.Len(t, 0, u.Refusals)
+	})
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -135,8 +135,8 @@
 	// grantedUntil is the end of the lease that the leader has granted to this agent, on
 	// Now's clock.
 	grantedUntil time.Duration
-	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the lease that this
-	// agent has given to the runner.
+	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the leases that this process or an
+	// earlier one on this machine has given to the runner.
 	runnerLeaseUntil time.Duration
 	// runnerClock is the reading of the runner's clock at runnerClockAt, which is
 	// runnerClockSteadyAt on SteadyNow's clock.
@@ -181,9 +181,10 @@
 
 // New returns a Supervisor. It calls the runner only while Run runs.
 func New(opts Options) *Supervisor {
+	earlierLeaseUntil := opts.Now() + opts.MaxLease + leaseMargin
 	return &Supervisor{
-		runsKnownAt: opts.Now() + opts.MaxLease + leaseMargin,
-		opts:        opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
+		runsKnownAt: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		speedController: newSpeedController(),
 	}
@@ -200,14 +201,16 @@
 }
 
 // TakeUpdate returns the changes since the last call of TakeUpdate or Snapshot. ok is false
-// if there are none, or while the runs on a restarted runner are unknown.
+// if there are none. While the runs on a restarted runner are unknown and it counts as answering, an
+// update holds refusals only.
 func (s *Supervisor) TakeUpdate() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.restarted && !s.runsKnown() {
-		return Update{}, false
+	if s.restarted && !s.unreachable && !s.runsKnown() {
+		u.Refusals, s.update.Refusals = s.update.Refusals, nil
+	} else {
+		u, s.update = s.update, Update{}
 	}
-	u, s.update = s.update, Update{}
 	return u, !u.empty()
 }
 
@@ -315,7 +318,12 @@
 func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
 
 func (s *Supervisor) runnerChanged() {
-	s.update.RunnerChanged, s.update.Runner = true, s.reachableRunner()
+	if s.unreachable {
+		// The leader takes the runs of an update without a runner for all that may be alive.
+		s.reportFullState()
+		return
+	}
+	s.update.RunnerChanged, s.update.Runner = true, s.runner
 	s.signal(s.notify)
 }
 
