follower: a replaced session takes no update

Found by reading (reviewer). The new test calls a function of this change; on the code before, nothing kept the old session from taking the update.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -256,10 +256,10 @@
 // heartbeats until the session ends.
 func (f *Follower) sendLoop(ctx context.Context, session wire.Session, stream wire.Stream) {
 	defer func() { _ = session.Close() }()
-	m, snapshot := f.snapshot()
+	m, snapshot, current := f.nextMessage(session, false)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	for {
+	for current {
 		m.Beat = int64(f.opts.Now())
 		if err := stream.Send(m); err != nil {
 			if ctx.Err() == nil {
@@ -275,20 +275,27 @@
 		case <-ticker.C:
 		case <-f.opts.Supervisor.Updates():
 		}
-		if !snapshot {
-			m, snapshot = f.snapshot()
-		} else {
-			u, _ := f.opts.Supervisor.TakeUpdate()
-			m = message(u)
-		}
+		m, snapshot, current = f.nextMessage(session, snapshot)
 	}
 }
 
-func (f *Follower) snapshot() (m *wirepb.AgentMessage, ok bool) {
+// nextMessage returns the next message of a session: the snapshot once it is ready, and updates after
+// it. sent is set once the snapshot has been returned. current is false if another session has taken
+// over, which then has all further updates.
+func (f *Follower) nextMessage(session wire.Session, snapshot bool) (m *wirepb.AgentMessage, sent, current bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != session {
+		return nil, snapshot, false
+	}
+	if snapshot {
+		u, _ := f.opts.Supervisor.TakeUpdate()
+		return message(u), true, true
+	}
 	u, ok := f.opts.Supervisor.Snapshot()
 	m = message(u)
 	m.Snapshot = ok
-	return m, ok
+	return m, ok, true
 }
 
 func message(u supervisor.Update) *wirepb.AgentMessage {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -247,3 +247,26 @@
 	}
 	test.Eq(t, 2, r.runs())
 }
+
+// namedSession is a session of which only the identity matters.
+type namedSession struct {
+	wire.Session
+	name string
+}
+
+// Guards against an update that a replaced session takes and never delivers: a refused run would count
+// as starting for good.
+func TestFollower_ReplacedSessionTakesNoUpdate(t *testing.T) {
+	s := supervisor.New(supervisor.Options{
+		Logger: &log.Logger{Handler: discard.Default}, Now: boottime.Now, SteadyNow: boottime.Now, MaxLease: 5 * time.Second,
+	})
+	replaced, current := &namedSession{name: "replaced"}, &namedSession{name: "current"}
+	f := New(Options{Supervisor: s, Now: boottime.Now})
+	f.current = current
+	s.Start(t.Context(), supervisor.Order{Details: supervisor.RunDetails{Run: job.Run{Number: 1}}})
+	_, _, ok := f.nextMessage(replaced, true)
+	must.False(t, ok)
+	m, _, ok := f.nextMessage(current, true)
+	must.True(t, ok)
+	test.Len(t, 1, m.Refusals)
+}
