--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -283,40 +283,6 @@
 	}
 }
 
-// orphan leaves a run to the end of the lease that was given to the runner.
-func (s *Supervisor) orphan(r *taskRun) {
-	r.reconciling = false
-	if r.orphanedUntil == 0 {
-		r.orphanedUntil = max(s.runnerLeaseUntil, s.opts.Now()) + killTime
-	}
-}
-
-// dropExpiredOrphans drops the orphaned runs whose lease has expired.
-func (s *Supervisor) dropExpiredOrphans() {
-	now := s.opts.Now()
-	for run, r := range s.runs {
-		if r.orphanedUntil != 0 && now > r.orphanedUntil {
-			s.dropRun(run, runner.RefusedLate, causeLeaseExpired)
-		}
-	}
-}
-
-// dropAllRuns drops all runs of the current incarnation, but not orphaned ones. Each is reported as refused, since
-// the leader may not have a record of some of their orders yet. RefusedLate is the reason
-// for started runs too: the leader starts their tasks again and, as for an order that came
-// too late, does not count it against the runner's health.
-func (s *Supervisor) dropAllRuns(cause string) {
-	for run, r := range s.runs {
-		if r.orphanedUntil == 0 {
-			s.dropRun(run, runner.RefusedLate, cause)
-		}
-	}
-}
-
-// leaseLeft returns how much of the lease that was given to the runner may be left; at most 0 if it has
-// expired.
-func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
-
 func (s *Supervisor) runnerChanged() {
 	if s.unreachable {
 		// The leader takes the runs of an update without a runner for all that may be alive.
@@ -342,6 +308,14 @@
 		return
 	}
 	s.unreachable = unreachable
+	entry := s.opts.Logger.WithFields(log.Fields{
+		"runner": s.runner.ID, "born": s.runner.StartTime, "runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
+	})
+	if unreachable {
+		entry.Warn("runner does not answer; its runs are kept until their lease ends")
+	} else {
+		entry.Info("runner answers again")
+	}
 	s.reportFullState()
 }
 
@@ -373,22 +347,6 @@
 	s.opts.Logger.WithField("token", s.token).Warn("fencing token lower than runner's; raised")
 }
 
-// dropRun removes a run that is not alive on the runner and cannot start later, and reports
-// it as refused.
-func (s *Supervisor) dropRun(run job.Run, reason runner.Refusal, cause string) {
-	if s.runs[run] == nil {
-		return
-	}
-	delete(s.runs, run)
-	s.update.Refusals = append(s.update.Refusals, RefusedStart{Run: run, Reason: reason})
-	countDroppedRun(cause, reason)
-	s.opts.Logger.WithFields(log.Fields{
-		"task": run.Task.String(), "run": run.Number, "reason": string(reason), "cause": cause,
-		"lease_left_ms": s.leaseLeft().Milliseconds(),
-	}).Info("run dropped")
-	s.signal(s.notify)
-}
-
 // Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err().
 func (s *Supervisor) Run(ctx context.Context) error {
 	defer s.calls.Wait()
