--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -3,6 +3,7 @@
 package connpool
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -46,18 +47,19 @@
 	began := time.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		p.observe(transport, began, err)
+		p.observe(request.Context(), transport, began, err)
 		return nil, err
 	}
-	response.Body = &body{ReadCloser: response.Body, observe: func(err error) { p.observe(transport, began, err) }}
+	response.Body = &body{ReadCloser: response.Body, observe: func(err error) {
+		p.observe(request.Context(), transport, began, err)
+	}}
 	return response, nil
 }
 
 // observe replaces transport, unless that has been done, if err shows that a request that began
-// at the given time got no answer.
-func (p *Pool) observe(transport *http.Transport, began time.Time, err error) {
-	var timeout interface{ Timeout() bool }
-	if !errors.As(err, &timeout) || !timeout.Timeout() || time.Since(began) < p.silence {
+// at the given time and had the context ctx got no answer.
+func (p *Pool) observe(ctx context.Context, transport *http.Transport, began time.Time, err error) {
+	if !timedOut(ctx, err) || time.Since(began) < p.silence {
 		return
 	}
 	p.mu.Lock()
@@ -71,6 +73,20 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_connection_pools_replaced_total{peer=%q}", p.peer)).Inc()
 }
 
+// timedOut reports whether a request with the context ctx failed with err because it timed out.
+//
+// The deadline of ctx counts whatever err is: http.Client.Timeout sets the deadline, but also
+// cancels the request by a second timer, and a http.Transport reports whichever came first. Only
+// the error of the deadline is a timeout.
+func timedOut(ctx context.Context, err error) bool {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return true
+	}
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline) && !errors.Is(ctx.Err(), context.Canceled)
+}
+
 // CloseIdleConnections closes the connections that are not in use.
 func (p *Pool) CloseIdleConnections() {
 	p.mu.Lock()
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,12 +20,14 @@
 
 const silence = 50 * time.Millisecond
 
-// fixture is a server that counts its connections, and a client with a Pool. The server leaves
-// requests for /silent without an answer, and breaks off within the one for /stalls.
+// fixture is a server that counts its connections, and a client with a Pool whose transports are
+// counted. The server leaves requests for /silent without an answer, and breaks off within the one
+// for /stalls.
 type fixture struct {
-	url    string
-	client *http.Client
-	conns  atomic.Int64
+	url        string
+	client     *http.Client
+	conns      atomic.Int64
+	transports atomic.Int64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -47,7 +50,10 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
-	f.client = &http.Client{Transport: connpool.New("test", silence, func() *http.Transport { return &http.Transport{} })}
+	f.client = &http.Client{Transport: connpool.New("test", silence, func() *http.Transport {
+		f.transports.Add(1)
+		return &http.Transport{}
+	})}
 	t.Cleanup(f.client.CloseIdleConnections)
 	return f
 }
@@ -55,6 +61,10 @@
 func (f *fixture) get(t *testing.T, path string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
+	return f.getContext(ctx, t, path)
+}
+
+func (f *fixture) getContext(ctx context.Context, t *testing.T, path string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+path, nil)
 	must.NoError(t, err)
 	response, err := f.client.Do(request)
@@ -87,6 +97,55 @@
 	}
 }
 
+// Guards against kept connections that are used again because the transport reports a passed
+// deadline as an error other than a timeout, before or within a response.
+func TestPool_ReplacesConnectionsAfterDeadlineWithCause(t *testing.T) {
+	cause := errors.New("the caller's time is over")
+	for _, path := range []string{"/silent", "/stalls"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t)
+			ctx, cancel := context.WithTimeoutCause(t.Context(), 3*silence, cause)
+			defer cancel()
+			test.ErrorIs(t, f.getContext(ctx, t, path), cause)
+			test.Eq(t, 2, f.transports.Load())
+		})
+	}
+}
+
+// Guards against silent connections that are kept after a part of the timeouts of http.Client: it
+// sets a deadline and a timer for the same time, and only the former gives a timeout error.
+func TestPool_ReplacesConnectionsAfterClientTimeout(t *testing.T) {
+	var group sync.WaitGroup
+	for range 40 {
+		f := newFixture(t)
+		f.client.Timeout = 3 * silence
+		group.Go(func() {
+			test.Error(t, f.getContext(t.Context(), t, "/silent"))
+			test.Eq(t, 2, f.transports.Load())
+		})
+	}
+	group.Wait()
+}
+
+// Guards against connections that are replaced because a caller that has left before its deadline
+// notices it only later.
+func TestPool_KeepsConnectionsOfCancelledCaller(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+"/stalls", nil)
+	must.NoError(t, err)
+	response, err := f.client.Do(request)
+	must.NoError(t, err)
+	cancel()
+	deadline, _ := ctx.Deadline()
+	<-time.After(time.Until(deadline))
+	_, err = io.Copy(io.Discard, response.Body)
+	test.ErrorIs(t, err, context.Canceled)
+	test.NoError(t, response.Body.Close())
+	test.Eq(t, 1, f.transports.Load())
+}
+
 // Guards against connections that are replaced although nothing speaks against them: after an
 // answer, a caller that leaves, or a caller whose deadline is early.
 func TestPool_KeepsConnections(t *testing.T) {
