planner: gangs and early starts in the model test

Scheduled jobs of the model had no gangs, so no takeover fell into one. Gangs end as a whole here, on all agents. Leaders now also start occurrences early.

--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -21,6 +21,8 @@
 	modelTick  = 500 * time.Millisecond
 	// modelSkew bounds the difference between a leader's wall clock and the true time.
 	modelSkew = 5 * time.Second
+	// modelEarlyStart is how long before its due time an occurrence may start.
+	modelEarlyStart = 250 * time.Millisecond
 )
 
 // model simulates runners, the ledger and a succession of planners. The runners determine
@@ -78,7 +80,7 @@
 			}
 			if m.now > a.renewedAt+modelLease {
 				for run := range a.liveRuns {
-					a.end(run, job.EndLeaseExpired)
+					m.endAt(id, run, job.EndLeaseExpired)
 				}
 			}
 		}
@@ -115,7 +117,7 @@
 		if m.storedAsDone[o.Run.Task] {
 			m.t.Fatalf("start of %v though its end as done was stored", o.Run)
 		}
-		if early := m.job(o.Run.Task.Job).Due(o.Run.Task.Occurrence).Sub(m.trueTime()); early > modelSkew {
+		if early := m.job(o.Run.Task.Job).Due(o.Run.Task.Occurrence).Sub(m.trueTime()); early > modelSkew+modelEarlyStart {
 			m.t.Fatalf("start of %v %v before it is due", o.Run, early)
 		}
 		a.liveRuns[o.Run] = true
@@ -150,7 +152,7 @@
 func (m *model) takeOver() {
 	m.term++
 	m.drawSkew()
-	m.p = New(Options{Term: m.term, EndedRetention: time.Hour, RemoteFactor: 1.5})
+	m.p = New(Options{Term: m.term, EarlyStart: modelEarlyStart, EndedRetention: time.Hour, RemoteFactor: 1.5})
 	for id, a := range m.agents {
 		a.connected = false
 		m.p.AddUnreportedAgent(id, m.now+modelGrant+modelLease+modelSlack)
@@ -177,7 +179,9 @@
 		}
 		for _, e := range a.ends {
 			if e.Reason == job.EndDone {
-				m.storedAsDone[e.Run.Task] = true
+				for _, member := range m.members(e.Run) {
+					m.storedAsDone[member.Task] = true
+				}
 			}
 		}
 		a.ends = nil
@@ -240,8 +244,40 @@
 	m.plan()
 }
 
-// endAt ends a run and passes the end to the planner if the agent is connected.
+// members returns the runs that end together with a run: all members if it is one of a gang.
+func (m *model) members(run job.Run) []job.Run {
+	s := m.job(run.Task.Job).Steps[run.Task.Step]
+	if !s.Gang {
+		return []job.Run{run}
+	}
+	runs := make([]job.Run, s.Tasks)
+	for i := range runs {
+		runs[i] = run
+		runs[i].Task.Index = i
+	}
+	return runs
+}
+
+// endAt ends a run and passes the end to the planner if the agent is connected. If it is one
+// of a gang, the other members end too.
 func (m *model) endAt(id string, run job.Run, reason job.EndReason) {
+	if !m.agents[id].liveRuns[run] {
+		return
+	}
+	m.endOne(id, run, reason)
+	if reason != job.EndDone {
+		reason = job.EndGangMemberLost
+	}
+	for _, member := range m.members(run) {
+		for _, id := range slices.Sorted(maps.Keys(m.agents)) {
+			if m.agents[id].liveRuns[member] {
+				m.endOne(id, member, reason)
+			}
+		}
+	}
+}
+
+func (m *model) endOne(id string, run job.Run, reason job.EndReason) {
 	a := m.agents[id]
 	a.end(run, reason)
 	if reason == job.EndDone {
@@ -270,6 +306,7 @@
 			"submit": func(t *rapid.T) {
 				if len(m.jobs) < 20 {
 					j := testJob(len(m.jobs), step(3), step(2, 0))
+					j.Steps[rapid.IntRange(0, 1).Draw(t, "gang step")].Gang = rapid.Bool().Draw(t, "gang")
 					if rapid.Bool().Draw(t, "scheduled") {
 						j.Occurrences, j.Interval = 3, 2*time.Second
 						j.Start = m.trueTime().Add(time.Second)
