planner: open reported occurrences beyond the bound of open tasks

The bound of open tasks also applied to occurrences that an agent reports. If an earlier leader had received ends that it did not store, opened the next occurrence and was replaced, and an agent then reported an end of the later occurrence before the ends of the earlier one, that end was ignored, acknowledged and lost, and its task started again. Found by reading; it takes occurrences of more than MaxTasks/2 tasks together.

Reported occurrences are now opened whatever the bound. Reports of tasks that the job does not have no longer open any.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -121,6 +121,12 @@
 // OccurrenceCount returns the number of occurrences, 1 for a job that is not scheduled.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
+// HasTask reports whether the job has the task.
+func (j *Job) HasTask(t Task) bool {
+	return t.Job == j.ID && t.Occurrence >= 0 && t.Occurrence < j.OccurrenceCount() &&
+		t.Step >= 0 && t.Step < len(j.Steps) && t.Index >= 0 && t.Index < j.Steps[t.Step].Tasks
+}
+
 // Due returns the time at which occurrence k is due.
 func (j *Job) Due(k int) time.Time {
 	if j.Occurrences == 0 {
--- a/internal/planner/occurrence_test.go
+++ b/internal/planner/occurrence_test.go
@@ -115,3 +115,40 @@
 	must.NotNil(t, stored)
 	test.Eq(t, job.Completed, stored.State)
 }
+
+// An end of a later occurrence was ignored, acknowledged and lost if the ends of an earlier one,
+// which the previous leader had received but not stored, were reported after it and both
+// occurrences together have more than MaxTasks tasks.
+func TestScheduled_ReportedEndCountsBeyondMaxTasks(t *testing.T) {
+	const tasks = job.MaxTasks/2 + 1
+	f := newFixture(t, 1)
+	j := testJob(1, job.Step{Tasks: tasks, CPU: 1, Estimate: time.Second})
+	j.Occurrences, j.Start, j.Interval = 2, f.instant().Wall, time.Second
+	f.now += time.Second
+	f.add(j, nil, true)
+	end := func(occurrence, index int) {
+		f.end("a", job.Run{Task: job.Task{Job: j.ID, Occurrence: occurrence, Index: index}, Number: 1}, job.EndDone)
+	}
+	end(1, 0)
+	for i := range tasks {
+		end(0, i)
+	}
+	f.plan()
+	stored := f.commit()[j.ID]
+	must.NotNil(t, stored)
+	must.MapContainsKey(t, stored.Open, 1)
+	test.True(t, stored.taskDone(job.Task{Job: j.ID, Occurrence: 1}))
+}
+
+// A report of a task that the job does not have must not open occurrences.
+func TestScheduled_ReportOfUnknownTaskOpensNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	j := scheduledJob(f)
+	f.add(j, nil, false)
+	for _, unknown := range []job.Task{{Step: 1}, {Index: 2}, {Step: -1}, {Index: -1}, {Occurrence: 2}} {
+		unknown.Job = j.ID
+		unknown.Occurrence = max(unknown.Occurrence, 1)
+		f.end("a", job.Run{Task: unknown, Number: 1}, job.EndDone)
+		test.Eq(t, 1, f.jobs[j.ID].opened)
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -252,64 +252,6 @@
 	p.completeIfDone(now.Mono, js)
 }
 
-// openReported opens the occurrence of a task of which an agent has reported a run or an end,
-// and all before it: an earlier leader has opened them.
-func (p *Planner) openReported(now time.Duration, t job.Task) {
-	js := p.jobs[t.Job]
-	if js == nil || js.state.Terminal() || t.Occurrence < js.opened || t.Occurrence >= js.job.OccurrenceCount() {
-		return
-	}
-	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
-	p.openOccurrences(Instant{Mono: now, Wall: wall}, js, t.Occurrence+1)
-}
-
-// openOccurrences opens the first atLeast occurrences, and those that are due or will be
-// within EarlyStart/2. Those that exceed job.MaxTasks together with the open ones are opened once
-// these are done.
-func (p *Planner) openOccurrences(now Instant, js *jobState, atLeast int) {
-	progress := js.recoveredProgress
-	for js.opened < js.job.OccurrenceCount() {
-		k := js.opened
-		due := js.job.Due(k)
-		if k >= atLeast && js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
-			return
-		}
-		if progress.occurrenceDone(k) {
-			js.opened++
-			continue
-		}
-		if len(js.open) > 0 && (len(js.open)+1)*js.occurrenceTasks > job.MaxTasks {
-			return
-		}
-		js.opened++
-		occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
-		if js.job.Occurrences > 0 {
-			occ.due = now.Mono - now.Wall.Sub(due)
-		}
-		js.open[k] = occ
-		for i := range occ.steps {
-			step := &js.job.Steps[i]
-			occ.steps[i] = stepState{
-				job: js, occ: occ, index: i, step: step, tasks: make([]taskState, step.Tasks),
-				runsOnAgent: map[*agent]int{},
-			}
-			if js.job.Queue.Advice != nil {
-				occ.steps[i].advice = newAdvice()
-			}
-			progress.restore(&occ.steps[i], k)
-		}
-		for i := range occ.steps {
-			if occ.steps[i].doneTasks == len(occ.steps[i].tasks) {
-				occ.stepsLeft--
-			}
-		}
-		p.openSteps(occ)
-		if occ.stepsLeft == 0 {
-			delete(js.open, k)
-		}
-	}
-}
-
 // openSteps opens the steps whose predecessors are all done.
 func (p *Planner) openSteps(occ *occurrence) {
 	for i := range occ.steps {
