planner: an opened occurrence is due by now

An occurrence that an earlier leader opened was due up to 10 s later for a leader whose wall clock is behind, and its tasks were ranked behind those of jobs that came after it. Opened occurrences are now due within EarlyStart/2 at the latest.

On the code before:

--- FAIL: TestScheduled_OpenedOccurrenceIsNotDueLater occurrence_test.go:144: slice is missing job.Task{Job:"", Occurrence:1, Step:0, Index:1}

--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -46,7 +46,8 @@
 	}
 	occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
 	if js.job.Occurrences > 0 {
-		occ.due = now.Mono + js.job.Due(k).Sub(now.Wall)
+		// An earlier leader may have opened it by a wall clock that is ahead of this one.
+		occ.due = now.Mono + min(js.job.Due(k).Sub(now.Wall), p.opts.EarlyStart/2)
 	}
 	js.open[k] = occ
 	for i := range occ.steps {
--- a/internal/planner/occurrence_test.go
+++ b/internal/planner/occurrence_test.go
@@ -116,6 +116,34 @@
 	test.Eq(t, job.Completed, stored.State)
 }
 
+// A leader whose wall clock is behind its predecessor's took an occurrence that its predecessor
+// had opened for one that is due seconds later, and ranked it behind jobs that came after it.
+func TestScheduled_OpenedOccurrenceIsNotDueLater(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := scheduledJob(f)
+	f.add(j, nil, false)
+	for _, s := range f.plan().Starts {
+		f.end("a", s.Run, job.EndDone)
+	}
+	f.now += time.Second
+	starts := f.plan().Starts
+	must.Len(t, 2, starts)
+	f.end("a", starts[0].Run, job.EndDone)
+	stored := f.commit()[j.ID]
+	must.NotNil(t, stored)
+
+	next := f.takeOver(t, 3*time.Second)
+	next.AddJob(next.instant(), j, stored, true)
+	next.add(testJob(2, step(16)), nil, false)
+	next.agent("a")
+	var started []job.Task
+	for _, s := range next.plan().Starts {
+		started = append(started, s.Run.Task)
+	}
+	test.SliceContains(t, started, starts[1].Run.Task)
+}
+
 // An end of a later occurrence was ignored, acknowledged and lost if the ends of an earlier one,
 // which the previous leader had received but not stored, were reported after it and both
 // occurrences together have more than MaxTasks tasks.
