standin: a test whose refusing port another server could get

The test closed a server and took its ephemeral port as one that refuses connections; any server that started meanwhile, as of the packages tested beside it, could get that port. The port is now bound without a listener until the test ends. That another server got the port is the only reading of an answer there that we have; it was not played.

--- a/internal/standin/contract_test.go
+++ b/internal/standin/contract_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 
 	"bamboowood/internal/platform"
 	"bamboowood/internal/standin"
@@ -27,6 +28,19 @@
 	return server.URL
 }
 
+// refusingURL returns a URL that refuses connections until the test ends. Its port is bound, so that no
+// other server gets it, but nobody listens there.
+func refusingURL(t *testing.T) string {
+	t.Helper()
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	must.NoError(t, unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := unix.Getsockname(socket)
+	must.NoError(t, err)
+	return fmt.Sprintf("http://127.0.0.1:%d", address.(*unix.SockaddrInet4).Port)
+}
+
 func forEachTable(t *testing.T, f func(t *testing.T, table platform.Table, fake *standin.Table)) {
 	t.Run("memory", func(t *testing.T) {
 		fake := standin.NewTable()
@@ -235,20 +249,19 @@
 // the response has a code of the protocol. It is unknown after a connection that broke
 // and after a response of something other than the service, such as a proxy.
 func TestTableClient_UnknownOutcome(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
+	refusing := refusingURL(t)
 	cases := []struct {
 		name    string
 		base    string
 		unknown bool
 	}{
-		{"connection refused", closed.URL, false},
+		{"connection refused", refusing, false},
 		{"bad gateway", serve(t, statusHandler(http.StatusBadGateway, "")), true},
 		{"503 from a proxy", serve(t, statusHandler(http.StatusServiceUnavailable, "busy")), true},
 		{"503 from the service", serve(t, statusHandler(http.StatusServiceUnavailable, `{"code":"unavailable"}`)), false},
 		{"conflict without a code", serve(t, statusHandler(http.StatusConflict, "")), true},
 		{"truncated response", serve(t, statusHandler(http.StatusOK, `{"version":`)), true},
-		{"redirect", serve(t, http.RedirectHandler(closed.URL, http.StatusTemporaryRedirect)), true},
+		{"redirect", serve(t, http.RedirectHandler(refusing, http.StatusTemporaryRedirect)), true},
 		{"closed connection", serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })), true},
 	}
 	for _, c := range cases {
