--- a/internal/supervisor/drop.go
+++ b/internal/supervisor/drop.go
@@ -9,36 +9,36 @@
 	"bamboowood/internal/runner"
 )
 
-// orphan leaves a run to the end of the lease that was given to the runner.
-func (s *Supervisor) orphan(r *taskRun) {
+// detach leaves a run to the end of the lease that was given to the runner.
+func (s *Supervisor) detach(r *taskRun) {
 	r.reconciling = false
-	if r.orphanedUntil != 0 {
+	if r.detachedUntil != 0 {
 		return
 	}
 	now := s.opts.Now()
-	r.orphanedUntil = max(s.runnerLeaseUntil, now) + killTime
+	r.detachedUntil = max(s.runnerLeaseUntil, now) + killTime
 	s.opts.Logger.WithFields(log.Fields{
-		"task": r.details.Run.Task.String(), "run": r.details.Run.Number, "lease_left_ms": (r.orphanedUntil - now).Milliseconds(),
+		"task": r.details.Run.Task.String(), "run": r.details.Run.Number, "lease_left_ms": (r.detachedUntil - now).Milliseconds(),
 	}).Warn("run left to the end of its lease")
 }
 
-// dropExpiredOrphans drops the orphaned runs whose lease has expired.
-func (s *Supervisor) dropExpiredOrphans() {
+// dropExpiredDetachedRuns drops the detached runs whose lease has expired.
+func (s *Supervisor) dropExpiredDetachedRuns() {
 	now := s.opts.Now()
 	for run, r := range s.runs {
-		if r.orphanedUntil != 0 && now > r.orphanedUntil {
+		if r.detachedUntil != 0 && now > r.detachedUntil {
 			s.dropRun(run, runner.RefusedLate, causeLeaseExpired)
 		}
 	}
 }
 
-// dropAllRuns drops all runs of the current incarnation, but not orphaned ones. Each is reported as
+// dropAllRuns drops all runs of the current incarnation, but not detached ones. Each is reported as
 // refused, since the leader may not have a record of some of their orders yet. RefusedLate is the
 // reason for started runs too: the leader starts their tasks again and, as for an order that came
 // too late, does not count it against the runner's health.
 func (s *Supervisor) dropAllRuns(cause string) {
 	for run, r := range s.runs {
-		if r.orphanedUntil == 0 {
+		if r.detachedUntil == 0 {
 			s.dropRun(run, runner.RefusedLate, cause)
 		}
 	}
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -70,7 +70,7 @@
 // renewOnce renews the lease once and returns the pause before the next renewal.
 func (s *Supervisor) renewOnce(ctx context.Context) time.Duration {
 	s.mu.Lock()
-	s.dropExpiredOrphans()
+	s.dropExpiredDetachedRuns()
 	fence, ok := s.fence()
 	if !ok {
 		s.mu.Unlock()
@@ -299,7 +299,7 @@
 	if r.phase == starting {
 		r.phase = running
 	}
-	r.reportsNotListed, r.orphanedUntil = 0, 0
+	r.reportsNotListed, r.detachedUntil = 0, 0
 	r.reconciling = false
 	wasUnconfirmed := r.activity.Unconfirmed
 	if act.CheckpointUnknown {
@@ -320,7 +320,7 @@
 // runNotListed handles a run that a report does not list as active or ended.
 func (s *Supervisor) runNotListed(sentAt time.Duration, run job.Run, r *taskRun) {
 	switch {
-	case r.orphanedUntil != 0:
+	case r.detachedUntil != 0:
 	case r.reconciling && sentAt > r.reconcilingSince:
 		s.dropRun(run, r.notListedReason, causeNotListed)
 	case r.phase == running && !r.reconciling:
--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -31,7 +31,7 @@
 	return f.lease
 }
 
-// runOn starts a run on runner i-1, which answers at the agent's runner address.
+// runOn adopts a runner, which answers at the agent's runner address, and starts a run on it.
 func (h *harness) runOn(id string) job.Run {
 	h.fake.setRunner(id, 100)
 	_ = h.report(job.Runner{ID: id, Service: "desk", Address: "10.2.0.88:8035", StartTime: 100, Sequence: 1})
@@ -242,9 +242,9 @@
 	})
 }
 
-// Guards against stops of orphaned runs, which wait for the end of a lease, that keep starts on the next
+// Guards against stops of detached runs, which wait for the end of a lease, that keep starts on the next
 // runner from being sent.
-func TestSupervisor_StopsOfOrphansDoNotDelayStarts(t *testing.T) {
+func TestSupervisor_StopsOfDetachedRunsDoNotDelayStarts(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
 		h.runOn("i-1")
 		runs := []job.Run{}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -206,7 +206,7 @@
 		if r.phase == starting && !r.sent {
 			s.dropRun(run, runner.RefusedLate, causeReplaced)
 		} else {
-			s.orphan(r)
+			s.detach(r)
 		}
 	}
 }
@@ -221,7 +221,7 @@
 	s.runsKnownAt = now + restartGraceFactor*s.opts.MaxLease
 	s.runnerLeaseUntil = s.runsKnownAt
 	for _, r := range s.runs {
-		if r.orphanedUntil != 0 {
+		if r.detachedUntil != 0 {
 			continue
 		}
 		r.reconciling, r.reconcilingSince, r.notListedReason = r.phase != starting, now, runner.RefusedIncarnationEnded
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -52,7 +52,7 @@
 		s.mu.Lock()
 		fence, ok := s.fence()
 		lease := s.leaseOnRunnerClock()
-		if !ok || s.runs[o.Details.Run] != r || r.phase != starting || r.orphanedUntil != 0 {
+		if !ok || s.runs[o.Details.Run] != r || r.phase != starting || r.detachedUntil != 0 {
 			s.mu.Unlock()
 			break
 		}
@@ -104,12 +104,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run := o.Details.Run
-	if s.runs[run] != r || r.phase == stopping || r.orphanedUntil != 0 {
+	if s.runs[run] != r || r.phase == stopping || r.detachedUntil != 0 {
 		return true
 	}
 	switch {
 	case errors.Is(err, runner.ErrOtherIncarnation) && sent:
-		s.orphan(r)
+		s.detach(r)
 	case errors.Is(err, runner.ErrOtherIncarnation):
 		s.dropRun(run, runner.RefusedIncarnationEnded, causeReplaced)
 	case (errors.Is(err, runner.ErrUnhealthy) || errors.Is(err, runner.ErrNoListener)) && !sent:
@@ -165,7 +165,7 @@
 // still in transit has no effect.
 func (s *Supervisor) stopUnconfirmed(ctx context.Context, run job.Run, r *taskRun) {
 	s.mu.Lock()
-	if s.runs[run] != r || r.phase != starting || r.orphanedUntil != 0 {
+	if s.runs[run] != r || r.phase != starting || r.detachedUntil != 0 {
 		s.mu.Unlock()
 		return
 	}
@@ -175,7 +175,7 @@
 }
 
 // stopUntilConfirmed stops a run until that is confirmed or the run is no longer on record. The
-// incarnation of an orphaned run does not answer, so that no call is sent for it.
+// incarnation of a detached run does not answer, so that no call is sent for it.
 func (s *Supervisor) stopUntilConfirmed(ctx context.Context, run job.Run, r *taskRun) {
 	for ctx.Err() == nil && !s.stopOnce(ctx, run, r) {
 		select {
@@ -185,16 +185,16 @@
 	}
 }
 
-// stopOnce sends one call to stop a run, unless it is orphaned, and reports whether no further one is
+// stopOnce sends one call to stop a run, unless it is detached, and reports whether no further one is
 // needed.
 func (s *Supervisor) stopOnce(ctx context.Context, run job.Run, r *taskRun) (done bool) {
 	s.callSlots <- struct{}{}
 	defer func() { <-s.callSlots }()
 	s.mu.Lock()
 	fence, ok := s.fence()
-	gone, orphaned := !ok || s.runs[run] != r, r.orphanedUntil != 0
+	gone, detached := !ok || s.runs[run] != r, r.detachedUntil != 0
 	s.mu.Unlock()
-	if gone || orphaned {
+	if gone || detached {
 		return gone
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -205,9 +205,9 @@
 	switch {
 	case s.runs[run] != r:
 		return true
-	case r.orphanedUntil != 0:
+	case r.detachedUntil != 0:
 	case errors.Is(err, runner.ErrOtherIncarnation):
-		s.orphan(r)
+		s.detach(r)
 	case err == nil && refusal == runner.RefusedFence:
 		s.raiseToken()
 	case err == nil:
--- a/internal/supervisor/pacer.go
+++ b/internal/supervisor/pacer.go
@@ -105,7 +105,7 @@
 func (s *Supervisor) throttleRun(run job.Run, r *taskRun) {
 	fence, ok := s.fence()
 	percent := r.speedLimit
-	if !ok || r.phase != running || r.orphanedUntil != 0 || r.activity.Unconfirmed || percent == r.confirmedSpeedLimit {
+	if !ok || r.phase != running || r.detachedUntil != 0 || r.activity.Unconfirmed || percent == r.confirmedSpeedLimit {
 		return
 	}
 	s.calls.Go(func() {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -98,9 +98,9 @@
 	reportedAt time.Duration
 	// sent is set once a call to start the run may have reached the runner.
 	sent bool
-	// orphanedUntil is set for a run of an incarnation that no longer answers: only the end of its
+	// detachedUntil is set for a run of an incarnation that no longer answers: only the end of its
 	// lease, at this time at the latest, proves that it is gone. 0 for all other runs.
-	orphanedUntil time.Duration
+	detachedUntil time.Duration
 	// reportsNotListed counts the consecutive reports that do not list this confirmed run.
 	reportsNotListed int
 }
