--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -297,3 +297,18 @@
 		test.Len(t, 0, u.Refusals)
 	})
 }
+
+// Guards against a snapshot without the runs of a runner that was replaced while the agent restarted:
+// the process of that runner may live on until the lease of the earlier agent process ends.
+func TestSupervisor_RunnerReplacedWhileAgentRestarts(t *testing.T) {
+	runTest(t, func(f *fakeRunner) { f.startedAt = time.Now().Add(-time.Second) }, func(h *harness) {
+		h.fake.setRunner("i-2", 200)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		time.Sleep(50 * time.Millisecond)
+		_, ok := h.Snapshot()
+		test.False(t, ok, test.Sprint("runs of the earlier runner may be alive"))
+		time.Sleep(testLease + time.Second)
+		_, ok = h.Snapshot()
+		test.True(t, ok)
+	})
+}
