--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/contain"
@@ -276,9 +277,12 @@
 func (n *PlatformNode) RunAgent(ctx context.Context) error {
 	storeClient := platform.NewStore(n.node.StoreAddress)
 	jobLedger := ledger.New(storeClient, store.NewBulkReader(storeClient, n.node.LinkRate))
+	started := time.Now()
 	runnerSupervisor := supervisor.New(supervisor.Options{
 		Runner: platform.NewRunner(n.node.RunnerAddress), Logger: n.logger, Now: boottime.Now,
-		MaxLease: n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
+		// Go's monotonic clock does not count the time in which the machine is suspended.
+		SteadyNow: func() time.Duration { return time.Since(started) },
+		MaxLease:  n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
 	})
 	agentFollower := follower.New(follower.Options{
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
@@ -304,6 +308,9 @@
 	return g.Run()
 }
 
+// malformedReportLogs bounds the log lines of malformed reports; their sender may repeat them.
+var malformedReportLogs = rate.NewLimiter(1, 20)
+
 // runnerReports forwards the runner's reports to the supervisor.
 type runnerReports struct {
 	supervisor *supervisor.Supervisor
@@ -322,5 +329,8 @@
 
 // ReportMalformed implements platform.Reports.
 func (r *runnerReports) ReportMalformed(err error) {
+	if !malformedReportLogs.Allow() {
+		return
+	}
 	r.logger.WithError(err).Warn("malformed runner report")
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -140,9 +140,11 @@
 }
 
 // Objective returns the latency objective of one occurrence, from its due time, if the job's
-// critical path takes the given time.
+// critical path takes the given time. Each of its two parts is at most MaxAhead, since a
+// conversion out of range and a sum that overflows would be negative.
 func (j *Job) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(criticalPath)) + j.Queue.Slack
+	stretched := time.Duration(max(min(j.Queue.Stretch*float64(criticalPath), float64(MaxAhead)), 0))
+	return stretched + max(min(j.Queue.Slack, MaxAhead), 0)
 }
 
 // Exceeds reports whether a task of the job requests more than the given resources. The CPU of
@@ -163,23 +165,43 @@
 	if len(j.Payload) > MaxPayloadBytes {
 		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
-		return fmt.Errorf("job has %d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
+	if len(j.Steps) == 0 {
+		return fmt.Errorf("job has no steps")
 	}
-	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences {
-		return fmt.Errorf("job has %d occurrences, 0 to %d are allowed", j.Occurrences, MaxOccurrences)
+	if err := j.CheckBounds(); err != nil {
+		return err
 	}
 	if j.Occurrences > 1 && j.Interval <= 0 {
 		return fmt.Errorf("interval of a scheduled job must be positive")
 	}
+	if !j.Start.IsZero() && j.Start.Before(time.Unix(0, 0)) {
+		return fmt.Errorf("the first occurrence is due before 1970")
+	}
 	if j.Interval > MaxAhead/time.Duration(j.OccurrenceCount()) || time.Until(j.Start) > MaxAhead {
 		return fmt.Errorf("an occurrence is due later than in %s", MaxAhead)
 	}
-	total := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+	}
+	return nil
+}
+
+// CheckBounds returns an error if a number of the job is out of bounds, so that the job would take
+// too much memory or distort the sums over all jobs. It is part of Validate.
+func (j *Job) CheckBounds() error {
+	if len(j.Steps) > MaxSteps {
+		return fmt.Errorf("job has %d steps, at most %d are allowed", len(j.Steps), MaxSteps)
+	}
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences {
+		return fmt.Errorf("job has %d occurrences, 0 to %d are allowed", j.Occurrences, MaxOccurrences)
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].checkBounds(); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
 		total += j.Steps[i].Tasks
 	}
 	if total > MaxTasks {
@@ -188,7 +210,7 @@
 	return nil
 }
 
-func (s *Step) validate(index int) error {
+func (s *Step) checkBounds() error {
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return fmt.Errorf("count is %d, must be 1 to %d", s.Tasks, MaxTasks)
 	}
@@ -198,6 +220,13 @@
 	if s.CPU > MaxAmount || s.MemoryMB > MaxAmount || s.GPUs > MaxAmount || s.Estimate > MaxEstimate {
 		return fmt.Errorf("a resource is above %d or an estimate above %s", int64(MaxAmount), MaxEstimate)
 	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	if s.LatencyTarget < 0 || s.LatencyTarget > MaxEstimate || s.MaxUnavailable < 0 {
+		return fmt.Errorf("a latency target is not in 0 to %s or the number of unavailable tasks is negative", MaxEstimate)
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("after: step %d is not an earlier step", before)
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -11,6 +11,9 @@
 // runner again.
 func (p *Planner) dropRun(now time.Duration, r *run) {
 	p.removeRun(now, r)
+	if r.planned {
+		p.starts = slices.DeleteFunc(p.starts, func(o Start) bool { return o.Run == r.id })
+	}
 	if r.stalled {
 		r.task.avoidAgent = r.agent
 	}
@@ -46,6 +49,7 @@
 			r.task.avoidAgent = a
 		}
 	}
+	p.openReported(now, e.Run.Task)
 	s, t := p.findTask(e.Run.Task)
 	if s == nil || s.job.state.Terminal() {
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,8 @@
 	quarantined map[string]bool
 	// currentJob is the id of the job being processed, empty if none.
 	currentJob string
+	// lastInstant is the last time that was passed to AddJob or Plan.
+	lastInstant Instant
 }
 
 // Stats count decisions since the planner was created.
@@ -129,10 +131,15 @@
 	started    bool
 	acceptedAt time.Duration
 	durations  durations
-	// opened is the number of occurrences that were opened; open holds those that are
-	// not done.
-	opened int
-	open   map[int]*occurrence
+	// opened is the number of occurrences that were opened, in order; open holds those that
+	// are not done. An occurrence is opened when it is due by this process's wall clock, or
+	// when the ledger or an agent shows that an earlier leader opened it.
+	// occurrenceTasks is the number of tasks of one.
+	opened          int
+	open            map[int]*occurrence
+	occurrenceTasks int
+	// recoveredProgress is the progress with which the job was added, nil if there was none.
+	recoveredProgress *Progress
 	// liveRuns counts the job's live runs.
 	liveRuns int
 	// workingRuns counts the job's working runs. While it is 0, idleSince is when the last
@@ -216,6 +223,7 @@
 // job. recovered means that an earlier planner may have started it. A job that was
 // added before is left unchanged.
 func (p *Planner) AddJob(now Instant, j *job.Job, progress *Progress, recovered bool) {
+	p.lastInstant = now
 	if p.HasJob(j.ID) {
 		return
 	}
@@ -224,6 +232,9 @@
 		job: j, state: job.Queued, storedState: job.Queued, recovered: recovered,
 		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.bias[j.Queue.Name]), open: map[int]*occurrence{},
 	}
+	for i := range j.Steps {
+		js.occurrenceTasks += j.Steps[i].Tasks
+	}
 	p.jobs[j.ID] = js
 	if progress != nil {
 		js.storedState = progress.State
@@ -233,25 +244,44 @@
 			return
 		}
 	}
-	p.openDueOccurrences(now, js, progress)
+	js.recoveredProgress = progress
+	p.openOccurrences(now, js, progress.openedOccurrences())
 	if js.opened < j.OccurrenceCount() {
 		p.scheduled[js] = struct{}{}
 	}
 	p.completeIfDone(now.Mono, js)
 }
 
-// openDueOccurrences opens the occurrences that are due, or will be within EarlyStart/2.
-func (p *Planner) openDueOccurrences(now Instant, js *jobState, progress *Progress) {
+// openReported opens the occurrence of a task of which an agent has reported a run or an end,
+// and all before it: an earlier leader has opened them.
+func (p *Planner) openReported(now time.Duration, t job.Task) {
+	js := p.jobs[t.Job]
+	if js == nil || js.state.Terminal() || t.Occurrence < js.opened || t.Occurrence >= js.job.OccurrenceCount() {
+		return
+	}
+	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
+	p.openOccurrences(Instant{Mono: now, Wall: wall}, js, t.Occurrence+1)
+}
+
+// openOccurrences opens the first atLeast occurrences, and those that are due or will be
+// within EarlyStart/2. Those that exceed job.MaxTasks together with the open ones are opened once
+// these are done.
+func (p *Planner) openOccurrences(now Instant, js *jobState, atLeast int) {
+	progress := js.recoveredProgress
 	for js.opened < js.job.OccurrenceCount() {
 		k := js.opened
 		due := js.job.Due(k)
-		if js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
+		if k >= atLeast && js.job.Occurrences > 0 && now.Wall.Before(due.Add(-p.opts.EarlyStart/2)) {
 			return
 		}
-		js.opened++
 		if progress.occurrenceDone(k) {
+			js.opened++
 			continue
 		}
+		if len(js.open) > 0 && (len(js.open)+1)*js.occurrenceTasks > job.MaxTasks {
+			return
+		}
+		js.opened++
 		occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
 		if js.job.Occurrences > 0 {
 			occ.due = now.Mono - now.Wall.Sub(due)
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -17,6 +17,21 @@
 	Open map[int]*OccurrenceProgress `json:"open,omitempty"`
 }
 
+// Valid reports whether the state is one of package job and no occurrence has a negative number.
+func (pr *Progress) Valid() bool {
+	switch pr.State {
+	case job.Queued, job.Running, job.Completed, job.Failed, job.Cancelled:
+	default:
+		return false
+	}
+	for k := range pr.Open {
+		if k < 0 {
+			return false
+		}
+	}
+	return pr.DoneBefore >= 0
+}
+
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
 	// Complete is set if all tasks are done.
@@ -37,6 +52,18 @@
 	return k < pr.DoneBefore || pr.Open[k] != nil && pr.Open[k].Complete
 }
 
+// openedOccurrences returns the number of leading occurrences that have certainly been opened.
+func (pr *Progress) openedOccurrences() int {
+	if pr == nil {
+		return 0
+	}
+	n := pr.DoneBefore
+	for k := range pr.Open {
+		n = max(n, k+1)
+	}
+	return n
+}
+
 // restore sets a step to its stored progress.
 func (pr *Progress) restore(s *stepState, k int) {
 	if pr == nil || pr.Open[k] == nil {
