--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -74,6 +74,10 @@
 	}
 	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
 	s.runner = r
+	if !r.Draining {
+		// The departure was that of an earlier incarnation.
+		s.left = false
+	}
 	if changed {
 		s.runnerChanged()
 	}
@@ -117,7 +121,7 @@
 // empty string if it is. Incarnations are ordered only where the answer has no start time.
 func (s *Supervisor) outdated(r *job.Runner, startTime int64) string {
 	switch {
-	case startTime != 0 && r.StartTime != 0:
+	case startTime != 0:
 		if startTime != r.StartTime {
 			return "another incarnation answers for its id"
 		}
@@ -182,7 +186,7 @@
 	s.runner, s.left, s.unreachable = r, false, false
 	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
 	s.acknowledgedEnd, s.answeredAt = 0, 0
-	s.runnerLeaseUntil, s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0, 0
+	s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0
 	if restarted {
 		s.reconcileAfterRestart()
 	}
