--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -90,7 +90,7 @@
 			beforePlan()
 			return &site.State{Config: config}
 		},
-		Now:  now, LeaseDuration: 5 * time.Second,
+		Now: now, LeaseDuration: 5 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
