logline: write lines that are queued while the handler is closed

While the writer flushed earlier lines, that line was queued and the handler closed; the writer then chose at random between the line and the end. It now writes what is queued first.

TestHandler_CloseWritesLineQueuedDuringFlush fails without the change.

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -84,6 +84,11 @@
 			select {
 			case line = <-h.lines:
 			case <-h.stop:
+				// A line may have been queued since the flush began.
+				for len(h.lines) > 0 {
+					_, _ = out.Write(<-h.lines)
+				}
+				_ = out.Flush()
 				return
 			}
 		}
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,3 +54,32 @@
 		logger.WithFields(log.Fields{"task": "5c0e7a21d94b36f8.0.1.17", "run": 2, "agent": "10.1.0.14"}).Info("start ordered")
 	}
 }
+
+// gatedWriter blocks each write until the gate is closed, and reports the first one.
+type gatedWriter struct {
+	bytes.Buffer
+	began, gate chan struct{}
+	first       sync.Once
+}
+
+func (w *gatedWriter) Write(p []byte) (int, error) {
+	w.first.Do(func() { close(w.began) })
+	<-w.gate
+	return w.Buffer.Write(p)
+}
+
+// Guards against a process that loses its last log line: one that was queued while the lines before it
+// were written, when the handler was closed.
+func TestHandler_CloseWritesLineQueuedDuringFlush(t *testing.T) {
+	for range 20 {
+		w := &gatedWriter{began: make(chan struct{}), gate: make(chan struct{})}
+		h := New(w)
+		logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+		logger.Info("leaving")
+		<-w.began
+		logger.Info("left")
+		time.AfterFunc(10*time.Millisecond, func() { close(w.gate) })
+		h.Close()
+		must.StrContains(t, w.String(), `"msg":"left"`)
+	}
+}
