supervisor, planner: tell the leader of runs that a new agent process cannot know

The new agent process reported its first list, of the new runner, as all that may be alive, and the leader, or one that took over after it, started tasks again that ran on the old runner.

A new agent process does not know which runner an earlier one served. The leader keeps the runs that it knows on that agent until then; after a takeover recovered tasks wait for that time, and others do not.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -295,6 +295,7 @@
 	u, ok := f.opts.Supervisor.Snapshot()
 	m = message(u)
 	m.Snapshot = ok
+	m.UnlistedRunsMs = u.UnlistedFor.Milliseconds()
 	return m, ok, true
 }
 
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -187,9 +187,14 @@
 	c.applyEnds(now, m)
 	runner := wire.Runner(m.Runner)
 	active := wire.Activities(m.Active)
+	if m.UnlistedRunsMs > 0 {
+		r.planner.RunsUnlistedUntil(c.id, now+time.Duration(m.UnlistedRunsMs)*time.Millisecond)
+	} else {
+		r.planner.RunsUnlistedUntil(c.id, 0)
+	}
 	r.planner.AgentConnected(now, c.id, runner, active)
 	c.sendDetails(active)
-	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unknown_agents": r.planner.UnreportedAgents()}
+	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "unknown_agents": r.planner.UnreportedAgents()}
 	if runner != nil {
 		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -42,6 +42,9 @@
 	stalled     bool
 	// planned is set until the plan that created the run has returned its start.
 	planned bool
+	// detachedUntil is set for a run that its agent's process may not know: it may be alive until
+	// this time. 0 for all others.
+	detachedUntil time.Duration
 }
 
 // agentState describes the contact with an agent.
@@ -65,9 +68,13 @@
 	// leaseExpiresAt is when the agent's latest known lease expires, including leases that an
 	// earlier planner may have granted.
 	leaseExpiresAt time.Duration
-	runner         *job.Runner
-	rack           string
-	runs           map[job.Run]*run
+	// unlistedUntil is the time until which runs may be alive that the agent does not list; 0 if
+	// there are none. awaited is set from a takeover until all runs of earlier planners are known.
+	unlistedUntil time.Duration
+	awaited       bool
+	runner        *job.Runner
+	rack          string
+	runs          map[job.Run]*run
 	// requested is the sum of the resources requested by all runs, except the CPU of
 	// best-effort runs.
 	requested job.Resources
@@ -91,7 +98,8 @@
 // alive until expiresAt.
 func (p *Planner) AddUnreportedAgent(id string, expiresAt time.Duration) {
 	if p.agents[id] == nil {
-		p.addAgent(id, unreported).leaseExpiresAt = expiresAt
+		a := p.addAgent(id, unreported)
+		a.leaseExpiresAt, a.awaited = expiresAt, true
 		p.unreported++
 	}
 }
@@ -103,14 +111,24 @@
 	return a
 }
 
-func (p *Planner) setState(a *agent, state agentState) {
-	if a.state == unreported && state != unreported {
+// settle ends the wait for the runs of earlier planners on an agent that has reported or is dead.
+func (p *Planner) settle(a *agent) {
+	if a.awaited {
+		a.awaited = false
 		p.unreported--
 	}
-	a.state = state
 }
 
-// UnreportedAgents returns the number of agents that have not reported their runs yet.
+// RunsUnlistedUntil records that until a time runs may be alive on an agent that it does not list,
+// since its process is new and its runner may be as well; 0 if there are none. It is called before
+// AgentConnected.
+func (p *Planner) RunsUnlistedUntil(id string, until time.Duration) {
+	if a := p.agents[id]; a != nil {
+		a.unlistedUntil = until
+	}
+}
+
+// UnreportedAgents returns the number of agents that have not reported all of their runs yet.
 // Tasks of recovered jobs are not started until it is 0.
 func (p *Planner) UnreportedAgents() int { return p.unreported }
 
@@ -122,13 +140,17 @@
 	if a == nil {
 		a = p.addAgent(id, live)
 	}
-	p.setState(a, live)
+	a.state = live
+	if now >= a.unlistedUntil {
+		p.settle(a)
+	}
 	p.setRunner(a, r)
 	p.reconcileRuns(now, a, active, func(*run) bool { return true })
 }
 
 // reconcileRuns compares the planner's runs on an agent with the runs that the agent
-// lists. Runs that are not listed are dropped if canDrop returns true for them.
+// lists. Runs that are not listed are dropped if canDrop returns true for them, once they cannot be
+// alive without the agent's knowledge.
 func (p *Planner) reconcileRuns(now time.Duration, a *agent, active []job.Activity, canDrop func(*run) bool) {
 	reported := make(map[job.Run]bool, len(active))
 	for _, act := range active {
@@ -136,7 +158,11 @@
 		p.applyReportedRun(now, a, act)
 	}
 	for id, r := range a.runs {
-		if !reported[id] && canDrop(r) {
+		switch {
+		case reported[id] || !canDrop(r):
+		case now < max(a.unlistedUntil, r.detachedUntil):
+			r.detachedUntil = max(a.unlistedUntil, r.detachedUntil)
+		default:
 			p.dropRun(now, r)
 		}
 	}
@@ -146,6 +172,7 @@
 // adopted if its task needs one, and stopped otherwise.
 func (p *Planner) applyReportedRun(now time.Duration, a *agent, act job.Activity) {
 	if r := a.runs[act.Run]; r != nil {
+		r.detachedUntil = 0
 		if r.phase == stopping {
 			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id})
 		}
@@ -276,7 +303,8 @@
 }
 
 func (p *Planner) setDead(a *agent) {
-	p.setState(a, dead)
+	a.state = dead
+	p.settle(a)
 	p.deadAgents = append(p.deadAgents, a.id)
 }
 
@@ -309,7 +337,7 @@
 	a := p.agents[id]
 	switch {
 	case a == nil:
-	case a.state == live && a.runner == nil && len(a.runs) == 0:
+	case a.state == live && a.runner == nil && len(a.runs) == 0 && a.unlistedUntil == 0:
 		// No run can be alive or start without a runner.
 		p.setDead(a)
 	case a.state == live:
@@ -344,9 +372,10 @@
 }
 
 // expireLeases marks the agents whose leases have certainly expired as dead and drops
-// their runs.
+// their runs, and the detached runs of which the same holds.
 func (p *Planner) expireLeases(now time.Duration) {
 	for _, a := range p.orderedAgents {
+		p.expireUnlisted(now, a)
 		if now < a.leaseExpiresAt || a.state != unreported && a.state != lost {
 			continue
 		}
@@ -358,6 +387,22 @@
 	}
 }
 
+// expireUnlisted drops the detached runs of an agent that cannot be alive any more.
+func (p *Planner) expireUnlisted(now time.Duration, a *agent) {
+	for _, r := range a.runs {
+		if r.detachedUntil != 0 && now >= r.detachedUntil {
+			p.stats.LeaseExpirations++
+			p.dropRun(now, r)
+		}
+	}
+	if a.unlistedUntil != 0 && now >= a.unlistedUntil {
+		a.unlistedUntil = 0
+		if a.state != unreported {
+			p.settle(a)
+		}
+	}
+}
+
 // ActivityReported applies an agent's report on its active runs.
 func (p *Planner) ActivityReported(now time.Duration, id string, active []job.Activity) {
 	a := p.agents[id]
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -130,3 +130,52 @@
 	must.Len(t, 1, again)
 	test.Eq(t, starts[1].Run.Task, again[0].Run.Task)
 }
+
+// Guards against starting runs elsewhere when an agent restarts while its runner is replaced: the new
+// agent process does not know the runs of the earlier runner, which may live on until its lease ends.
+func TestPlanner_RunnerReplacedWhileAgentRestarts(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(2)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 2, starts)
+	f.ActivityReported(f.now, "a", []job.Activity{{Run: starts[0].Run}})
+	f.agent("b")
+	f.AgentLost("a", f.now+6*time.Second)
+	f.now += time.Second
+	next := testRunner("a")
+	next.ID = "another"
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.AgentConnected(f.now, "a", next, nil)
+	must.Len(t, 0, f.plan().Starts)
+	f.now += time.Second
+	f.RunnerChanged(f.now, "a", nil, nil)
+	f.AgentLost("a", f.now+6*time.Second)
+	f.RunsUnlistedUntil("a", 0)
+	f.AgentConnected(f.now, "a", next, nil)
+	must.Len(t, 0, f.plan().Starts)
+	f.now += 4 * time.Second
+	must.Len(t, 2, f.plan().Starts)
+}
+
+// Guards against the same after a takeover: the new leader does not know the runs either, and must not start
+// recovered tasks before they have expired. Tasks of later jobs do not wait.
+func TestPlanner_RunnerReplacedBeforeTakeover(t *testing.T) {
+	f := newFixture(t, 2)
+	f.AddUnreportedAgent("a", f.now+13*time.Second)
+	f.add(testJob(1, step(2)), nil, true)
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	must.Eq(t, 1, f.UnreportedAgents())
+	must.Len(t, 0, f.plan().Starts)
+	f.add(testJob(2, step(1)), nil, false)
+	must.Len(t, 1, f.plan().Starts)
+	f.RunnerChanged(f.now, "a", nil, nil)
+	f.AgentLost("a", f.now+6*time.Second)
+	must.SliceEmpty(t, f.TakeDeadAgents())
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	f.now += 5 * time.Second
+	must.Len(t, 2, f.plan().Starts)
+	must.Zero(t, f.UnreportedAgents())
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -65,6 +65,9 @@
 	Active   []job.Activity
 	Ends     []job.End
 	Refusals []RefusedStart
+	// UnlistedFor is for how long runs may be alive that Active lacks: those of an earlier process of
+	// this agent on a runner that has been replaced. Only snapshots have it.
+	UnlistedFor time.Duration
 }
 
 func (u *Update) empty() bool {
@@ -153,6 +156,8 @@
 	// runsKnownAt, the leases of runs that this process may not have on record have expired.
 	runsListed  bool
 	runsKnownAt time.Duration
+	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
+	earlierLeaseUntil time.Duration
 	// restarted is set while the runner has restarted under the same id and has not listed
 	// its runs yet. Starts meant for the previous incarnation may have reached the new one.
 	restarted bool
@@ -183,7 +188,7 @@
 func New(opts Options) *Supervisor {
 	earlierLeaseUntil := opts.Now() + opts.MaxLease + leaseMargin
 	return &Supervisor{
-		runsKnownAt: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		speedController: newSpeedController(),
@@ -227,7 +232,23 @@
 		return Update{}, false
 	}
 	s.update = Update{}
-	return s.fullState(), true
+	u = s.fullState()
+	u.UnlistedFor = s.unlistedFor()
+	return u, true
+}
+
+// maxClockStep is by how much the time of day may have been stepped since the runner's start.
+const maxClockStep = 5 * time.Second
+
+// unlistedFor returns for how long runs may be alive that neither this process nor the current runner
+// knows. There are none if the current runner has served its address since before the last lease that
+// an earlier process may have given to another one.
+func (s *Supervisor) unlistedFor() time.Duration {
+	if r := s.runner; r != nil && r.StartTime != 0 &&
+		time.Since(time.UnixMilli(r.StartTime)) > s.opts.MaxLease+killTime+maxClockStep {
+		return 0
+	}
+	return max(s.earlierLeaseUntil+killTime-s.opts.Now(), 0)
 }
 
 // fullState returns the full state as an update.
