leader: count the time before the first plan

A leader that is suspended between the recovery of its planner and its first plan did not notice it: the loop of plans took its first reading of the clock when it began. All runs then counted as stalled and were stopped, though the leader had only received no reports.

The first plan now counts the time since the recovery.

--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -27,17 +27,7 @@
 // would start the same task elsewhere.
 func TestLeader_ReturnedAgentIsRegisteredFirst(t *testing.T) {
 	hooked, _ := newHookedStore(t)
-	allowed := make(chan struct{})
-	hooked.onApply = func(tx store.Tx) error {
-		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "agents" {
-			select {
-			case <-allowed:
-			default:
-				return store.ErrRefused
-			}
-		}
-		return nil
-	}
+	allow := hooked.refuseWrites("agents")
 	jobLedger := newLedger(hooked)
 	a := newFakeAgent(t)
 	a.noRunner = true
@@ -56,7 +46,7 @@
 	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
 	time.Sleep(time.Second)
 	test.Zero(t, a.count(hasStarts))
-	close(allowed)
+	allow()
 	a.await(t, hasStarts)
 	test.True(t, registered(t, jobLedger, "a"))
 }
@@ -97,17 +87,7 @@
 	jobLedger := newLedger(hooked)
 	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
 	must.NoError(t, err)
-	allowed := make(chan struct{})
-	hooked.onApply = func(tx store.Tx) error {
-		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
-			select {
-			case <-allowed:
-			default:
-				return store.ErrRefused
-			}
-		}
-		return nil
-	}
+	allow := hooked.refuseWrites("renewal")
 	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
 	b := newFakeAgent(t)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
@@ -126,7 +106,7 @@
 	test.Zero(t, a.count(hasGrant))
 	a.set(func() { a.noSnapshot = true })
 	a.closeSessions()
-	close(allowed)
+	allow()
 	b.await(t, hasGrant)
 	time.Sleep(3 * time.Second)
 	test.Zero(t, b.count(hasStarts))
--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -76,7 +76,7 @@
 		r.planner.Cancel(now.Mono, id)
 	}
 	r.logUnreadable(c)
-	r.recovered = true
+	r.recovered, r.recoveredAt = true, now.Mono
 	for _, conn := range r.conns {
 		if conn.registered {
 			conn.applyBuffered(now.Mono)
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -44,6 +44,8 @@
 	// recovered is set once the planner has the ledger's jobs. Until then no runs are
 	// reported to it, because it would stop those whose jobs it does not have.
 	recovered bool
+	// recoveredAt is when the planner was recovered. The first plan counts the time since then.
+	recoveredAt time.Duration
 	// earlyCancels holds the ids of cancelled jobs that have not been received yet.
 	earlyCancels map[string]bool
 	budget       budget
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -36,6 +36,22 @@
 	onFeed  func(table string)
 }
 
+// refuseWrites refuses all writes of single rows of a table until allow is called.
+func (s *hookedStore) refuseWrites(table string) (allow func()) {
+	allowed := make(chan struct{})
+	s.onApply = func(tx store.Tx) error {
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == table {
+			select {
+			case <-allowed:
+			default:
+				return store.ErrRefused
+			}
+		}
+		return nil
+	}
+	return func() { close(allowed) }
+}
+
 func (s *hookedStore) Feed(ctx context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
 	if s.onFeed != nil {
 		s.onFeed(c.Table)
@@ -73,25 +89,20 @@
 
 // runLeader runs a leader until the test ends or stop is called.
 func runLeader(t *testing.T, jobLedger *ledger.Ledger) (l *Leader, stop func()) {
-	return runLeaderWithClock(t, jobLedger, boottime.Now)
-}
-
-func runLeaderWithClock(t *testing.T, jobLedger *ledger.Ledger, now func() time.Duration) (l *Leader, stop func()) {
-	return runLeaderWithHook(t, jobLedger, now, func() {})
+	return runLeaderWith(t, jobLedger, func(*Options) {})
 }
 
-// runLeaderWithHook is like runLeaderWithClock, and calls beforePlan whenever a plan begins.
-func runLeaderWithHook(t *testing.T, jobLedger *ledger.Ledger, now func() time.Duration, beforePlan func()) (l *Leader, stop func()) {
+// runLeaderWith is like runLeader, with options that change has changed.
+func runLeaderWith(t *testing.T, jobLedger *ledger.Ledger, change func(*Options)) (l *Leader, stop func()) {
 	config := &site.Config{Services: map[string]site.Service{"desk": {Name: "desk", EnforcesCapacity: true}}}
-	l = New(Options{
+	opts := Options{
 		Ledger: jobLedger, CallersLedger: jobLedger, Logger: &log.Logger{Handler: discard.Default},
 		Address: "10.0.0.1:1", Process: "p1",
-		Site: func() *site.State {
-			beforePlan()
-			return &site.State{Config: config}
-		},
-		Now: now, LeaseDuration: 5 * time.Second,
-	})
+		Site: func() *site.State { return &site.State{Config: config} },
+		Now:  boottime.Now, LeaseDuration: 5 * time.Second,
+	}
+	change(&opts)
+	l = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -177,17 +188,7 @@
 	jobLedger := newLedger(hooked)
 	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
 	must.NoError(t, err)
-	allowed := make(chan struct{})
-	hooked.onApply = func(tx store.Tx) error {
-		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
-			select {
-			case <-allowed:
-			default:
-				return store.ErrRefused
-			}
-		}
-		return nil
-	}
+	allow := hooked.refuseWrites("renewal")
 	a := newFakeAgent(t)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
 	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
@@ -196,7 +197,7 @@
 	time.Sleep(800 * time.Millisecond)
 	test.Zero(t, a.count(hasStarts))
 	test.Zero(t, a.count(hasGrant))
-	close(allowed)
+	allow()
 	a.await(t, hasStarts)
 	a.await(t, hasGrant)
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -13,7 +13,7 @@
 func (r *leadership) planLoop() error {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	last := r.opts.Now()
+	last := r.recoveredAt
 	for {
 		select {
 		case <-r.ctx.Done():
--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -1,11 +1,13 @@
 package leader
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
@@ -13,6 +15,7 @@
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
+	"bamboowood/internal/site"
 	"bamboowood/internal/store"
 	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
@@ -26,17 +29,7 @@
 	jobLedger := newLedger(hooked)
 	_, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p1/0")
 	must.NoError(t, err)
-	allowed := make(chan struct{})
-	hooked.onApply = func(tx store.Tx) error {
-		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "renewal" {
-			select {
-			case <-allowed:
-			default:
-				return store.ErrRefused
-			}
-		}
-		return nil
-	}
+	allow := hooked.refuseWrites("renewal")
 	a := newFakeAgent(t)
 	a.ends = []*wirepb.RunEnd{{
 		Sequence: 1, Reason: string(job.EndDone), Run: wire.RunRef(job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1 << 17}),
@@ -46,7 +39,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(l.Leading), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
 	time.Sleep(800 * time.Millisecond)
 	test.Zero(t, a.count(hasStored))
-	close(allowed)
+	allow()
 	a.await(t, hasStored)
 }
 
@@ -81,21 +74,40 @@
 	test.Greater(t, startValidity, began-renewed)
 }
 
-// A leader that was suspended has received no reports meanwhile. Its runs must not count as stalled
-// for that: all of them would be stopped.
-func TestLeader_RunsAreNotStalledAfterSuspension(t *testing.T) {
+// suspension is a clock that a test moves on as if the process had been suspended.
+type suspension struct{ total, pending atomic.Int64 }
+
+// suspensionTime is longer than a run may be without progress.
+const suspensionTime = 2 * time.Second
+
+func (s *suspension) now() time.Duration { return boottime.Now() + time.Duration(s.total.Load()) }
+
+// begin suspends the process now, prepare at the next call of beginPrepared.
+func (s *suspension) begin()         { s.total.Add(int64(suspensionTime)) }
+func (s *suspension) prepare()       { s.pending.Store(int64(suspensionTime)) }
+func (s *suspension) beginPrepared() { s.total.Add(s.pending.Swap(0)) }
+
+// runLeaderWithRun runs a leader of a job whose run an agent lists, until its state is running.
+func runLeaderWithRun(t *testing.T, change func(*Options)) *fakeAgent {
 	hooked, _ := newHookedStore(t)
 	jobLedger := newLedger(hooked)
 	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
 	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
-	var suspended atomic.Int64
-	l, _ := runLeaderWithClock(t, jobLedger, func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) })
+	l, _ := runLeaderWith(t, jobLedger, change)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 		state, known, _ := l.Status(testJob(1).ID)
 		return known && state == job.Running
 	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
-	suspended.Store(int64(2 * time.Second))
+	return a
+}
+
+// A leader that was suspended has received no reports meanwhile. Its runs must not count as stalled
+// for that: all of them would be stopped.
+func TestLeader_RunsAreNotStalledAfterSuspension(t *testing.T) {
+	var s suspension
+	a := runLeaderWithRun(t, func(o *Options) { o.Now = s.now })
+	s.begin()
 	time.Sleep(4 * planInterval)
 	test.Zero(t, a.count(hasStops))
 }
@@ -103,19 +115,33 @@
 // Guards against a suspension between two readings of the clock in one plan: the plan did not notice
 // it, and stopped all runs as stalled.
 func TestLeader_RunsAreNotStalledBySuspensionWithinPlan(t *testing.T) {
-	hooked, _ := newHookedStore(t)
-	jobLedger := newLedger(hooked)
-	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
-	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
-	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
-	var suspended, pending atomic.Int64
-	l, _ := runLeaderWithHook(t, jobLedger, func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) },
-		func() { suspended.Add(pending.Swap(0)) })
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-		state, known, _ := l.Status(testJob(1).ID)
-		return known && state == job.Running
-	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
-	pending.Store(int64(2 * time.Second))
+	var s suspension
+	a := runLeaderWithRun(t, func(o *Options) {
+		o.Now = s.now
+		state := o.Site
+		o.Site = func() *site.State {
+			s.beginPrepared()
+			return state()
+		}
+	})
+	s.prepare()
+	time.Sleep(4 * planInterval)
+	test.Zero(t, a.count(hasStops))
+}
+
+// Guards against a suspension between a takeover and the first plan, which was not noticed either.
+func TestLeader_RunsAreNotStalledBySuspensionBeforeFirstPlan(t *testing.T) {
+	var s suspension
+	s.prepare()
+	a := runLeaderWithRun(t, func(o *Options) {
+		o.Now = s.now
+		o.Logger = &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+			if strings.HasPrefix(e.Message, "ledger recovered") {
+				s.beginPrepared()
+			}
+			return nil
+		})}
+	})
 	time.Sleep(4 * planInterval)
 	test.Zero(t, a.count(hasStops))
 }
--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -219,3 +219,15 @@
 	}
 	return all
 }
+
+// heartbeat is the interval at which an agent's leader grants leases.
+const heartbeat = 300 * time.Millisecond
+
+// refusalsWhileLeased returns the refusals of the next d, in which the leader grants leases.
+func (h *harness) refusalsWhileLeased(d time.Duration) (refusals []RefusedStart) {
+	for range d / heartbeat {
+		h.grantLease()
+		refusals = append(refusals, h.collectUpdates(heartbeat).Refusals...)
+	}
+	return refusals
+}
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -157,11 +157,7 @@
 		h.fake.mu.Lock()
 		h.fake.leaseEnds = nil
 		h.fake.mu.Unlock()
-		var refusals []RefusedStart
-		for range 2 * testLease / heartbeat {
-			h.grantLease()
-			refusals = append(refusals, h.collectUpdates(heartbeat).Refusals...)
-		}
+		refusals := h.refusalsWhileLeased(2 * testLease)
 		must.Len(t, 1, refusals)
 		test.Eq(t, run, refusals[0].Run)
 		h.fake.mu.Lock()
@@ -185,11 +181,7 @@
 		h.fake.mu.Lock()
 		h.fake.startTime, h.fake.active, h.fake.leaseEnds = 200, nil, nil
 		h.fake.mu.Unlock()
-		var refusals []RefusedStart
-		for range 2 * testLease / heartbeat {
-			h.grantLease()
-			refusals = append(refusals, h.collectUpdates(heartbeat).Refusals...)
-		}
+		refusals := h.refusalsWhileLeased(2 * testLease)
 		must.Len(t, 1, refusals)
 		test.Eq(t, run, refusals[0].Run)
 		h.fake.mu.Lock()
@@ -214,9 +206,6 @@
 	})
 }
 
-// heartbeat is the interval at which an agent's leader grants leases.
-const heartbeat = 300 * time.Millisecond
-
 // Guards against renewals without a pause while the runner holds an end that cannot be read, and
 // against a checkpoint that is lost because one report of it cannot be read.
 func TestSupervisor_MalformedEntries(t *testing.T) {
