planner: know the capacities while runs are unlisted

Since an agent that started beside its runner said for about 6 s that runs may be alive which it does not list, and the leader counted it as unreported. The entries learn the largest capacity of a service only once all agents have reported, so for that time they accepted jobs that no runner can hold, instead of refusing them at once.

The capacity needs the agent's runner, not its runs: an agent is left out only until its first report.

--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -99,7 +99,9 @@
 // MaxCapacity returns the maximum of each resource over all runners of a service. known is
 // false while an agent is unreported, or if no agent has a runner of the service.
 func (p *Planner) MaxCapacity(service string) (capacity job.Resources, known bool) {
+	allReported := true
 	for _, a := range p.orderedAgents {
+		allReported = allReported && a.state != unreported
 		if a.runner == nil || a.runner.Service != service {
 			continue
 		}
@@ -107,9 +109,9 @@
 		capacity.CPU = max(capacity.CPU, c.CPU)
 		capacity.MemoryMB = max(capacity.MemoryMB, c.MemoryMB)
 		capacity.GPUs = max(capacity.GPUs, c.GPUs)
-		known = p.unreported == 0
+		known = true
 	}
-	return capacity, known
+	return capacity, known && allReported
 }
 
 func (s agentState) String() string {
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -179,3 +179,15 @@
 	must.Len(t, 2, f.plan().Starts)
 	must.Zero(t, f.UnreportedAgents())
 }
+
+// Guards against accepting jobs that no runner can hold for as long as a restarted agent may have runs
+// that it does not list: its runner and the capacity are known.
+func TestPlanner_MaxCapacityWhileRunsAreUnlisted(t *testing.T) {
+	f := newFixture(t, 3)
+	f.AddUnreportedAgent("a", f.now+13*time.Second)
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	must.Eq(t, 1, f.UnreportedAgents())
+	_, known := f.MaxCapacity(testService)
+	test.True(t, known)
+}
