supervisor, ledger: a boot of the VM ends the runs of earlier agent processes

Since a new agent process whose runner is new as well says for 6 s that runs may be alive which it does not list, and after a takeover recovered tasks wait for that time. After a power loss of all VMs each agent said so, and nothing that had been accepted before it ran for 6 s, though the power loss had ended every run.

An agent process now registers the boot of its VM in the store: the kernel's boot id, its boot clock and the store's steady clock. The VM has booted since an earlier registration if the id differs, or if the boot clock has gone back or gained on the store's, and then no earlier process can have given a lease in this boot. A boot clock that has fallen behind proves nothing, since the VM may have been suspended.

--- /dev/null
+++ b/internal/boottime/reading.go
@@ -0,0 +1,50 @@
+package boottime
+
+import (
+	"os"
+	"strings"
+	"time"
+)
+
+// Reading identifies a boot of a machine by what its kernel and its clocks said at a moment.
+type Reading struct {
+	// BootID is the kernel's random id of the boot; empty if unknown.
+	BootID string
+	// Clock is the time since the boot.
+	Clock time.Duration
+	// Reference is another machine's steady clock at that moment; 0 if unknown.
+	Reference time.Duration
+}
+
+// maxDrift bounds by how much Clock gains on Reference, relative to the time that has passed.
+const maxDrift = 0.04
+
+// maxRounding bounds the errors of both clocks beside their drift.
+const maxRounding = 10 * time.Millisecond
+
+// BootedSince reports whether it is certain that the machine has booted since an earlier reading:
+// within a boot the id stays, and the clock neither goes back nor gains on the reference. A clock
+// that falls behind the reference proves nothing, since the machine may have been suspended together
+// with its processes.
+func (r Reading) BootedSince(earlier Reading) bool {
+	if r.BootID != "" && earlier.BootID != "" && r.BootID != earlier.BootID {
+		return true
+	}
+	if r.Clock < earlier.Clock {
+		return true
+	}
+	if r.Reference == 0 || earlier.Reference == 0 || r.Reference < earlier.Reference {
+		return false
+	}
+	longest := time.Duration(float64(r.Reference-earlier.Reference)*(1+maxDrift)) + maxRounding
+	return r.Clock-earlier.Clock > longest
+}
+
+// BootID returns the kernel's random id of this boot; "" if it names none.
+func BootID() string {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(id))
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,7 +38,9 @@
 type Options struct {
 	Supervisor *supervisor.Supervisor
 	Ledger     *ledger.Ledger
-	Logger     log.Interface
+	// Boot registers the boot of the VM in which this process runs.
+	Boot   *ledger.BootRegistration
+	Logger log.Interface
 	// Name and Address are the agent's name and address in the ledger.
 	Name, Address string
 	// Now is a monotonic clock that includes the time in which the machine is suspended.
@@ -319,10 +321,21 @@
 
 // Register keeps the agent registered in the ledger until ctx is done and returns ctx.Err().
 func (f *Follower) Register(ctx context.Context) error {
-	registered := false
+	registered, bootRegistered := false, false
 	ticker := time.NewTicker(registerInterval)
 	defer ticker.Stop()
 	for {
+		if !bootRegistered {
+			first, err := f.opts.Boot.Register(ctx)
+			bootRegistered = err == nil
+			switch {
+			case bootRegistered:
+				f.opts.Logger.WithField("first", first).Info("boot of the VM registered")
+				f.opts.Supervisor.BootRegistered(first)
+			case ctx.Err() == nil:
+				f.opts.Logger.WithError(err).Warn("registration of the boot failed")
+			}
+		}
 		if !registered || f.registrationStale() {
 			err := f.opts.Ledger.RegisterAgent(ctx, f.opts.Name, f.opts.Address)
 			if err != nil && ctx.Err() == nil {
--- /dev/null
+++ b/internal/ledger/boot.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/store"
+)
+
+// bootTable has the boot of each agent's VM in which an agent process registered last. Its rows are
+// spread over parts, since all VMs may boot at once.
+const bootTable = "boots"
+
+var bootsUnreadable = metrics.NewCounter("bamboowood_boot_rows_unreadable_total")
+
+// bootRow is a row of bootTable.
+type bootRow struct {
+	BootID      string `json:"boot_id,omitempty"`
+	ClockMillis int64  `json:"clock_ms"`
+	StoreMillis int64  `json:"store_ms"`
+}
+
+// maxClockMillis is the highest valid reading of a clock: some 30 years.
+const maxClockMillis = 1e12
+
+// decodeBoot decodes a row of bootTable. Only another writer stores one that is not valid.
+func decodeBoot(value []byte) (boottime.Reading, error) {
+	var b bootRow
+	if err := json.Unmarshal(value, &b); err != nil {
+		return boottime.Reading{}, fmt.Errorf("decode boot: %w", err)
+	}
+	if min(b.ClockMillis, b.StoreMillis) < 0 || max(b.ClockMillis, b.StoreMillis) > maxClockMillis {
+		return boottime.Reading{}, errors.New("decode boot: clock out of range")
+	}
+	return boottime.Reading{
+		BootID: b.BootID, Clock: time.Duration(b.ClockMillis) * time.Millisecond, Reference: time.Duration(b.StoreMillis) * time.Millisecond,
+	}, nil
+}
+
+// BootRegistration registers the boot of its VM in which an agent process runs.
+type BootRegistration struct {
+	ledger *Ledger
+	agent  string
+	bootID string
+	now    func() time.Duration
+	// value is what the last attempt wrote, whose outcome may be unknown, and first its result.
+	value []byte
+	first bool
+}
+
+// NewBootRegistration returns a registration for the process of an agent. bootID is the kernel's id
+// of the boot, empty if unknown, and now the time since the boot.
+func (l *Ledger) NewBootRegistration(agent, bootID string, now func() time.Duration) *BootRegistration {
+	return &BootRegistration{ledger: l, agent: agent, bootID: bootID, now: now}
+}
+
+// Register stores the boot. first reports whether it is certain that no earlier process of the agent
+// has registered in this boot. After an error Register may be called again.
+func (b *BootRegistration) Register(ctx context.Context) (first bool, err error) {
+	k := store.Key{Table: bootTable, Part: b.agent[max(len(b.agent)-1, 0):], Key: b.agent}
+	// A reading that is compared with an earlier one must not be late, one that later ones are
+	// compared with must not be early.
+	before := b.now()
+	page, err := b.ledger.store.Read(ctx, store.ReadRequest{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}, 1)
+	if err != nil {
+		return false, fmt.Errorf("read boot: %w", err)
+	}
+	var row store.Row
+	if len(page.Rows) > 0 {
+		row = page.Rows[0]
+		if b.value != nil && bytes.Equal(row.Value, b.value) {
+			return b.first, nil
+		}
+	}
+	b.first, err = b.firstAfter(ctx, row, boottime.Reading{BootID: b.bootID, Clock: before.Truncate(time.Millisecond), Reference: page.Time})
+	if err != nil {
+		return false, err
+	}
+	b.value, err = json.Marshal(bootRow{BootID: b.bootID, ClockMillis: b.now().Milliseconds(), StoreMillis: page.Time.Milliseconds()})
+	if err != nil {
+		return false, fmt.Errorf("encode boot: %w", err)
+	}
+	_, err = b.ledger.store.Apply(ctx, store.Tx{
+		Expect: []store.Expect{{Key: k, Version: row.Version}}, Writes: []store.Write{{Key: k, Value: b.value}},
+	})
+	if conflict := (*store.ConflictError)(nil); errors.As(err, &conflict) {
+		return false, fmt.Errorf("boot registered meanwhile: %w", err)
+	}
+	return b.first, err
+}
+
+// firstAfter reports whether it is certain that no earlier process of the agent has registered in the
+// boot of a reading, given the row of the last registration.
+func (b *BootRegistration) firstAfter(ctx context.Context, row store.Row, now boottime.Reading) (bool, error) {
+	if row.Version == 0 {
+		// Processes of earlier versions register their address only. A registration is removed
+		// once nothing can be alive there.
+		agent, err := b.ledger.readRow(ctx, mainKey(agentTable, b.agent))
+		if err != nil {
+			return false, fmt.Errorf("read agent: %w", err)
+		}
+		return agent == nil, nil
+	}
+	earlier, err := decodeBoot(row.Value)
+	if err != nil {
+		bootsUnreadable.Inc()
+		return false, nil
+	}
+	return now.BootedSince(earlier), nil
+}
--- /dev/null
+++ b/internal/ledger/boot_test.go
@@ -0,0 +1,74 @@
+package ledger_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/platform/platformtest"
+)
+
+// clockFrom returns a boot clock that shows d now.
+func clockFrom(d time.Duration) func() time.Duration {
+	origin := time.Now().Add(-d)
+	return func() time.Duration { return time.Since(origin) }
+}
+
+// Guards against taking an agent process for the first in a boot of its VM after another one has
+// registered in that boot, and against waiting for runs that ended with the VM's power.
+func TestBootRegistration_First(t *testing.T) {
+	l, _ := newLedger(t)
+	register := func(bootID string, clock func() time.Duration) bool {
+		first, err := l.NewBootRegistration("10.0.0.1", bootID, clock).Register(t.Context())
+		must.NoError(t, err)
+		return first
+	}
+	boot := clockFrom(time.Hour)
+	test.True(t, register("a", boot))
+	test.False(t, register("a", boot))
+	test.False(t, register("a", boot))
+	test.True(t, register("a", clockFrom(time.Minute)), test.Sprint("clock began anew"))
+	test.True(t, register("a", clockFrom(9*time.Hour)), test.Sprint("clock is ahead of the time that has passed"))
+	test.True(t, register("b", clockFrom(9*time.Hour)), test.Sprint("another boot id"))
+	test.False(t, register("b", clockFrom(9*time.Hour)))
+}
+
+// Guards against taking a process for the first whose predecessor was of a version without boot
+// registrations.
+func TestBootRegistration_EarlierVersion(t *testing.T) {
+	l, _ := newLedger(t)
+	must.NoError(t, l.RegisterAgent(t.Context(), "10.0.0.1", "10.0.0.1:1"))
+	first, err := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour)).Register(t.Context())
+	must.NoError(t, err)
+	test.False(t, first)
+}
+
+// Guards against a registration that counts as that of another process because its answer was lost.
+func TestBootRegistration_LostAnswer(t *testing.T) {
+	l, standin := newLedger(t)
+	registration := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour))
+	standin.SetFault(platformtest.Lost)
+	_, err := registration.Register(t.Context())
+	must.Error(t, err)
+	standin.SetFault(platformtest.None)
+	first, err := registration.Register(t.Context())
+	must.NoError(t, err)
+	test.True(t, first)
+}
+
+// Guards against an odd row of another writer that makes a process the first in its boot.
+func TestBootRegistration_OddRows(t *testing.T) {
+	l, s := newWritableLedger(t)
+	for _, value := range []string{
+		"", "null", "{}", "[", `"a"`, `{"clock_ms":1e400}`, `{"clock_ms":9e18,"store_ms":1}`, `{"clock_ms":-1}`, `{"clock_ms":"1"}`,
+		`{"boot_id":1}`, strings.Repeat("[", 20_000), `{"clock_ms":` + strings.Repeat("[", 20_000),
+	} {
+		writeRow(t, s, "boots", "1", "10.0.0.1", value)
+		first, err := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour)).Register(t.Context())
+		must.NoError(t, err)
+		test.False(t, first, test.Sprint(value[:min(len(value), 40)]))
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -103,6 +103,8 @@
 	More bool
 	// Version is a version from which Feed continues without a gap.
 	Version int64
+	// Time is the store's steady clock when it answered; 0 if unknown.
+	Time time.Duration
 }
 
 // Store gives access to the platform's tables. Calls end when ctx does.
--- /dev/null
+++ b/internal/supervisor/boot_test.go
@@ -0,0 +1,74 @@
+package supervisor
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/runner"
+)
+
+// reportNewRunner reports a runner that has just started.
+func (h *harness) reportNewRunner() {
+	born := time.Now().Add(-time.Second).UnixMilli()
+	h.fake.setRunner("i-2", born)
+	must.NoError(h.t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: born, Sequence: 1}))
+	synctest.Wait()
+}
+
+// Guards against waiting for runs of an earlier runner after a power loss, which has ended them: a new
+// leader would start no recovered task for the length of a lease.
+func TestSupervisor_FirstProcessOfABoot(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.BootRegistered(true)
+		h.reportNewRunner()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Zero(t, snapshot.UnlistedFor)
+	})
+}
+
+// Guards against a snapshot that names runs as unlisted because the boot was not registered yet, and
+// against waiting for that while the ledger is away.
+func TestSupervisor_SnapshotAwaitsBootRegistration(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.mu.Lock()
+		h.bootRegistered = false
+		h.mu.Unlock()
+		h.reportNewRunner()
+		_, ok := h.Snapshot()
+		test.False(t, ok)
+		time.Sleep(bootRegistrationWait)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Positive(t, snapshot.UnlistedFor)
+	})
+}
+
+// Guards against a run that is started before the boot is registered: the next process of the agent would
+// take itself for the first one of the boot, and the run for ended.
+func TestSupervisor_NoStartBeforeBootRegistration(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.mu.Lock()
+		h.bootRegistered = false
+		h.mu.Unlock()
+		h.reportNewRunner()
+		h.grantLease()
+		run := h.startRun(1)
+		u := h.collectUpdates(100 * time.Millisecond)
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, RefusedStart{Run: run, Reason: runner.RefusedUnhealthy}, u.Refusals[0])
+		test.SliceEmpty(t, h.fake.starts)
+		h.BootRegistered(false)
+		h.startRun(2)
+		synctest.Wait()
+		h.collectUpdates(10 * time.Millisecond)
+		h.fake.mu.Lock()
+		defer h.fake.mu.Unlock()
+		test.Len(t, 1, h.fake.starts)
+	})
+}
--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -178,6 +178,7 @@
 			Now:      func() time.Duration { return steadyNow() + time.Duration(suspended.Load()) },
 			MaxLease: testLease, FirstToken: 1,
 		})
+		s.BootRegistered(false)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -12,6 +12,8 @@
 const (
 	// causeRefused: the start was refused, or the runner confirmed that the run is not there.
 	causeRefused = "refused"
+	// causeUnregistered: the boot of the VM was not registered.
+	causeUnregistered = "unregistered"
 	// causeNoLease: the order expired, or there was no lease for it.
 	causeNoLease = "expired-order"
 	// causeReplaced: the runner was replaced by another incarnation.
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -36,6 +36,11 @@
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 		return
 	}
+	if !s.bootRegistered {
+		// The next process must be able to tell that a run may have been started in this boot.
+		s.dropRun(run, runner.RefusedUnhealthy, causeUnregistered)
+		return
+	}
 	s.calls.Go(func() {
 		if s.start(ctx, o, r) {
 			s.stopUnconfirmed(ctx, run, r)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -158,6 +158,10 @@
 	runsKnownAt time.Duration
 	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
 	earlierLeaseUntil time.Duration
+	// bootRegistered is set once the ledger has that this process runs in the current boot of the VM.
+	// Until bootAwaitedUntil a snapshot waits for that.
+	bootRegistered   bool
+	bootAwaitedUntil time.Duration
 	// restarted is set while the runner has restarted under the same id and has not listed
 	// its runs yet. Starts meant for the previous incarnation may have reached the new one.
 	restarted bool
@@ -181,14 +185,20 @@
 // incarnation's clock, and the runner shortens the lease to its own limit, MaxLease.
 const restartGraceFactor = 2
 
+// bootRegistrationWait is how long a snapshot waits for the registration of the boot; the ledger
+// answers within milliseconds unless it is away.
+const bootRegistrationWait = time.Second
+
 // maxCalls bounds the concurrent start, stop and throttle calls to the runner.
 const maxCalls = 10
 
 // New returns a Supervisor. It calls the runner only while Run runs.
 func New(opts Options) *Supervisor {
-	earlierLeaseUntil := opts.Now() + opts.MaxLease + leaseMargin
+	now := opts.Now()
+	earlierLeaseUntil := now + opts.MaxLease + leaseMargin
 	return &Supervisor{
-		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		bootAwaitedUntil: now + bootRegistrationWait,
+		runsKnownAt:      earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		speedController: newSpeedController(),
@@ -222,13 +232,26 @@
 // runsKnown reports whether s.runs has all runs that may be alive.
 func (s *Supervisor) runsKnown() bool { return s.runsListed || s.opts.Now() >= s.runsKnownAt }
 
+// BootRegistered records that the ledger has the boot of the VM in which this process runs. No earlier
+// process of the agent can have given a lease in this boot if this one is the first.
+func (s *Supervisor) BootRegistered(first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bootRegistered = true
+	if first {
+		s.earlierLeaseUntil = 0
+	}
+	s.signal(s.notify)
+}
+
 // Snapshot returns the full state: the runner, all runs that may be alive and all ends
 // that are not stored. It discards pending updates. ok is false until the runner has
-// listed its runs or all earlier leases have expired.
+// listed its runs or all earlier leases have expired, and shortly while the boot of the VM is being
+// registered.
 func (s *Supervisor) Snapshot() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.runsKnown() {
+	if !s.runsKnown() || !s.bootRegistered && s.opts.Now() < s.bootAwaitedUntil {
 		return Update{}, false
 	}
 	s.update = Update{}
@@ -241,8 +264,8 @@
 const maxClockStep = 5 * time.Second
 
 // unlistedFor returns for how long runs may be alive that neither this process nor the current runner
-// knows. There are none if the current runner has served its address since before the last lease that
-// an earlier process may have given to another one.
+// knows. There are none if no earlier process gave a lease since the VM booted, or if the current runner
+// has served its address since before the last lease that one may have given to another runner.
 func (s *Supervisor) unlistedFor() time.Duration {
 	if r := s.runner; r != nil && r.StartTime != 0 &&
 		time.Since(time.UnixMilli(r.StartTime)) > s.opts.MaxLease+killTime+maxClockStep {
