daemon: read a settings file again that is being written at the start

The platform may rewrite the file at any time, with or without a signal, and counts a process that ends by itself.

A process that finds the file unusable at its start reads it again for up to a second.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -58,6 +58,10 @@
 	// shutdownDelay is how long a stopping entry still accepts connections: the load balancer
 	// removes it after at most two probes, a second apart.
 	shutdownDelay = 2500 * time.Millisecond
+	// settingsWait is how long a process waits at its start for a usable settings file, and
+	// settingsRetryPause the pause between two readings.
+	settingsWait       = time.Second
+	settingsRetryPause = 10 * time.Millisecond
 	// shutdownMargin is what remains of the grace period when requests in flight are
 	// aborted.
 	shutdownMargin = 700 * time.Millisecond
@@ -82,7 +86,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
-	node, err := platform.LoadNode(path)
+	node, err := loadNode(path)
 	if err != nil {
 		return nil, err
 	}
@@ -95,6 +99,16 @@
 	return n, nil
 }
 
+// loadNode reads the settings file. It reads an unusable one again for settingsWait, since the
+// platform may be writing it.
+func loadNode(path string) (node platform.Node, err error) {
+	for deadline := time.Now().Add(settingsWait); ; time.Sleep(settingsRetryPause) {
+		if node, err = platform.LoadNode(path); err == nil || time.Now().After(deadline) {
+			return node, err
+		}
+	}
+}
+
 func newPlatformNode(role, path string, node platform.Node, logs *logline.Handler) *PlatformNode {
 	logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
 	logger.WithFields(log.Fields{
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -320,3 +320,15 @@
 		return d.runners[0].Active()+d.runners[1].Active() == 0
 	}), wait.Timeout(5*time.Second), wait.Gap(10*time.Millisecond)))
 }
+
+// Guards against a process that ends because it starts while its settings file is being written.
+func TestPlatform_StartsWhileSettingsAreWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	must.NoError(t, os.WriteFile(path, nil, 0o600))
+	time.AfterFunc(100*time.Millisecond, func() {
+		_ = os.WriteFile(path, []byte("ip = \"127.0.7.30\"\nportRange = [1,2]\n[platform]\naddress = \"127.0.7.1:1\"\n"), 0o600)
+	})
+	node, err := loadNode(path)
+	must.NoError(t, err)
+	test.Eq(t, "127.0.7.30", node.IP)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -85,7 +85,8 @@
 	}
 	// 823: an agent restarted while its runner was replaced; the new process did not know the runs of the
 	// old runner.
-	runSeeds(t, []int64{400, 401, 402, 823}, chosen)
+	// 1002: an entry started while its settings file was being written, and ended.
+	runSeeds(t, []int64{400, 401, 402, 823, 1002}, chosen)
 }
 
 // runSeeds runs the regression seeds and those that the flags name.
