leader: say why a run is stopped

Each stop has a reason now, which the leader logs once for each run (stop ordered) and counts: bamboowood_stops_ordered_total has the label reason. An agent logs that it stops a run whose start got no answer.

TestPlanner_LostAgent compares the reason as well.

--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -13,7 +13,6 @@
 // Metrics of the leading entry; they stay 0 on the other entries.
 var (
 	startsTotal       = metrics.NewCounter("bamboowood_starts_ordered_total")
-	stopsTotal        = metrics.NewCounter("bamboowood_stops_ordered_total")
 	throttlesTotal    = metrics.NewCounter("bamboowood_paces_ordered_total")
 	deferralsTotal    = metrics.NewCounter("bamboowood_jobs_yielded_total")
 	termsLedTotal     = metrics.NewCounter("bamboowood_terms_led_total")
@@ -30,7 +29,9 @@
 
 func countOrders(o planner.Orders) {
 	startsTotal.Add(len(o.Starts))
-	stopsTotal.Add(len(o.Stops))
+	for _, s := range o.Stops {
+		metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_stops_ordered_total{reason=%q}", string(s.Reason))).Inc()
+	}
 	throttlesTotal.Add(len(o.Throttles))
 	deferralsTotal.Add(len(o.Deferrals))
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -53,6 +53,11 @@
 		if conn := r.conns[o.Agent]; conn != nil {
 			conn.stop(o)
 		}
+		if !o.Repeated {
+			r.opts.Logger.WithFields(log.Fields{
+				"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent, "reason": string(o.Reason),
+			}).Info("stop ordered")
+		}
 	}
 	for _, o := range orders.Throttles {
 		if conn := r.conns[o.Agent]; conn != nil {
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -40,6 +40,8 @@
 	// confirmedAt is when the run was first reported as started; 0 before.
 	confirmedAt time.Duration
 	stalled     bool
+	// stopReason is set in phase stopping.
+	stopReason StopReason
 	// planned is set until the plan that created the run has returned its start.
 	planned bool
 	// detachedUntil is set for a run that its agent's process may not know: it may be alive until
@@ -174,7 +176,7 @@
 	if r := a.runs[act.Run]; r != nil {
 		r.detachedUntil = 0
 		if r.phase == stopping {
-			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id})
+			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id, Reason: r.stopReason, Repeated: true})
 		}
 		p.applyActivity(now, r, act)
 		return
--- a/internal/planner/aside.go
+++ b/internal/planner/aside.go
@@ -25,7 +25,7 @@
 			case r.planned:
 				p.removeRun(now, r)
 			default:
-				p.stopRun(r)
+				p.stopRun(r, StopQuarantined)
 			}
 		}
 	}
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -118,7 +118,7 @@
 	t.done = true
 	s.doneTasks++
 	if t.liveRun != nil && !s.step.Gang {
-		p.stopRun(t.liveRun)
+		p.stopRun(t.liveRun, StopTaskDone)
 	}
 }
 
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -117,11 +117,11 @@
 			if r.step.isStalled(now, r) {
 				r.stalled = true
 				p.stats.Stalls++
-				p.stopRun(r)
+				p.stopRun(r, StopStalled)
 			} else if a.runner.Draining && r.outlasts(now, a.runner.Remaining) {
-				p.stopRun(r)
+				p.stopRun(r, StopDraining)
 			} else if r.speedLimit == 0 && now-r.speedLimitChangedAt > zeroSpeedTimeout && p.pickAgent(now, r.step, r.task, pickOptions{}) != nil {
-				p.stopRun(r)
+				p.stopRun(r, StopThrottled)
 			}
 		}
 	}
--- a/internal/planner/orphan.go
+++ b/internal/planner/orphan.go
@@ -27,7 +27,22 @@
 	s := &stepState{job: js, step: &step, tasks: make([]taskState, 1), runsOnAgent: map[*agent]int{}}
 	r := p.addRun(now, a, s, &s.tasks[0], act.Run)
 	r.cpu = act.CPU
-	p.stopRun(r)
+	p.stopRun(r, p.orphanReason(act.Run.Task))
+}
+
+// orphanReason returns why a run of a task is orphaned.
+func (p *Planner) orphanReason(task job.Task) StopReason {
+	js := p.jobs[task.Job]
+	_, t := p.findTask(task)
+	switch {
+	case js == nil:
+		return StopJobUnknown
+	case js.state.Terminal():
+		return StopJobEnded
+	case t != nil && !t.done:
+		return StopOtherRun
+	}
+	return StopTaskDone
 }
 
 // stepOf returns the step of a task of a job that is still kept, ended or not; nil if
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -21,10 +21,38 @@
 
 // Stop orders an agent to stop a run, or to prevent its start.
 type Stop struct {
-	Agent string
-	Run   job.Run
+	Agent  string
+	Run    job.Run
+	Reason StopReason
+	// Repeated is set if the stop was ordered before, and the agent reports the run again.
+	Repeated bool
 }
 
+// StopReason is the reason why a run is stopped.
+type StopReason string
+
+// The reasons for stops.
+const (
+	StopJobCancelled StopReason = "job-cancelled"
+	StopJobFailed    StopReason = "job-failed"
+	// StopJobEnded: the run was reported after its job had ended.
+	StopJobEnded StopReason = "job-ended"
+	// StopJobUnknown: the run's job is not known here.
+	StopJobUnknown StopReason = "job-unknown"
+	// StopTaskDone: another run of the task ended as done.
+	StopTaskDone StopReason = "task-done"
+	// StopOtherRun: the run was reported while another run of the task may be alive.
+	StopOtherRun StopReason = "other-run"
+	// StopStalled: the run made no progress.
+	StopStalled StopReason = "stalled"
+	// StopDraining: the run would outlast its draining runner.
+	StopDraining StopReason = "runner-draining"
+	// StopThrottled: the run was at speed 0, and another runner has capacity for its task.
+	StopThrottled StopReason = "throttled"
+	// StopQuarantined: the run's job was quarantined.
+	StopQuarantined StopReason = "job-quarantined"
+)
+
 // Orders are the result of a plan.
 type Orders struct {
 	Starts    []Start
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -320,30 +320,30 @@
 	if js.storedState != state {
 		p.dirty[js] = struct{}{}
 	}
+	reason := StopJobCancelled
+	if state == job.Failed {
+		reason = StopJobFailed
+	}
 	for _, occ := range js.open {
 		for i := range occ.steps {
 			for t := range occ.steps[i].tasks {
-				p.stopTask(&occ.steps[i].tasks[t])
+				if r := occ.steps[i].tasks[t].liveRun; r != nil {
+					p.stopRun(r, reason)
+				}
 			}
 		}
 	}
 }
 
-func (p *Planner) stopTask(t *taskState) {
-	if t.liveRun != nil {
-		p.stopRun(t.liveRun)
-	}
-}
-
 // stopRun orders a run to be stopped, unless that was ordered before.
-func (p *Planner) stopRun(r *run) {
+func (p *Planner) stopRun(r *run, reason StopReason) {
 	if r.phase == stopping {
 		return
 	}
-	r.phase = stopping
+	r.phase, r.stopReason = stopping, reason
 	r.agent.colocation.computedAt = 0
 	p.stats.Stops++
-	p.stops = append(p.stops, Stop{Agent: r.agent.id, Run: r.id})
+	p.stops = append(p.stops, Stop{Agent: r.agent.id, Run: r.id, Reason: reason})
 }
 
 func (p *Planner) completeIfDone(now time.Duration, js *jobState) {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -198,7 +198,7 @@
 	test.Eq(t, "b", again[0].Agent)
 	// The agent returns with the old run. The run must be stopped, not adopted.
 	f.agent("a", job.Activity{Run: run})
-	test.Eq(t, []Stop{{Agent: "a", Run: run}}, f.plan().Stops)
+	test.Eq(t, []Stop{{Agent: "a", Run: run, Reason: StopOtherRun}}, f.plan().Stops)
 }
 
 func TestPlanner_CancelStopsRuns(t *testing.T) {
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -171,6 +171,7 @@
 	}
 	r.phase = stopping
 	s.mu.Unlock()
+	s.opts.Logger.WithFields(log.Fields{"task": run.Task.String(), "run": run.Number}).Info("stopping run with unconfirmed start")
 	s.stopUntilConfirmed(ctx, run, r)
 }
 
