daemon: one deadline for the whole shutdown of a process

Cause: the servers of a process on the users' platform were interrupted one after another, each with a timeout of its own (grace period - 3.2 s). An entry has three of them and its shutdown delay, so that it could take 2.5 + 3 * 2.8 s of a grace period of 6 s; an agent has two, and then the calls to its runner. Nothing bounded the end of the loops, and the log did not tell what a shutdown waited for.

Change: the servers and loops of a process are actors with one deadline, which counts from SIGTERM. The shutdown delay is at most half of the grace period.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -16,7 +16,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/google/uuid"
-	"github.com/oklog/run"
 	"golang.org/x/time/rate"
 
 	"bamboowood/internal/boottime"
@@ -55,12 +54,11 @@
 	// settingsPollInterval is how often the settings file is checked; it may change without
 	// a signal.
 	settingsPollInterval = 2 * time.Second
-	// shutdownDelay is how long a stopping entry still accepts connections: the load balancer
-	// removes it after at most two probes, a second apart.
+	// defaultGracePeriod is the time from SIGTERM to SIGKILL if the platform's settings do not say it.
+	defaultGracePeriod = 6 * time.Second
+	// shutdownDelay is how long a stopping entry still accepts connections, at most half of the
+	// grace period: the load balancer removes it after at most two probes, a second apart.
 	shutdownDelay = 2500 * time.Millisecond
-	// shutdownMargin is what remains of the grace period when requests in flight are
-	// aborted.
-	shutdownMargin = 700 * time.Millisecond
 )
 
 // PlatformNode is a process on the users' platform.
@@ -131,6 +129,10 @@
 	return min(time.Duration(leaseFraction*float64(n.node.Bounds.MaxLease)), maxLease)
 }
 
+func (n *PlatformNode) gracePeriod() time.Duration {
+	return cmp.Or(n.node.Bounds.GracePeriod, defaultGracePeriod)
+}
+
 // RunEntry runs an entry until ctx ends, then waits shutdownDelay and for requests in flight.
 func (n *PlatformNode) RunEntry(ctx context.Context) error {
 	storeMonitor := store.NewMonitor(platform.NewStore(n.node.StoreAddress), n.logStoreHealth)
@@ -164,25 +166,25 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	ready := func() bool { return !n.stopping.Load() && siteWatcher.State().Config != nil }
-	var g run.Group
-	delayedCtx := n.delayShutdown(ctx)
-	addActor(&g, n.restartOnPanic("operators' rows", siteWatcher.Run), nil)
-	addActor(&g, n.restartOnPanic("operators' rows of the leader", func(ctx context.Context) error {
+	a := newActors(n.logger, n.gracePeriod())
+	a.add("operators' rows", n.restartOnPanic("operators' rows", siteWatcher.Run))
+	a.add("operators' rows of the leader", n.restartOnPanic("operators' rows of the leader", func(ctx context.Context) error {
 		return siteWatcher.FollowPeer(ctx, leaderClient)
-	}), nil)
-	addActor(&g, func(ctx context.Context) error { return jobLeader.ServeQueries(ctx, peers) }, nil)
-	if err := n.addHTTP(&g, n.node.CallersAddress, n.closeWhenStopping(platform.CallersHandler(jobIntake))); err != nil {
+	}))
+	a.add("peers", func(ctx context.Context) error { return jobLeader.ServeQueries(ctx, peers) })
+	if err := a.serve("callers", n.node.CallersAddress, n.closeWhenStopping(platform.CallersHandler(jobIntake))); err != nil {
 		return err
 	}
-	if err := n.addHTTP(&g, n.node.ReadyAddress, platform.ReadyHandler(ready)); err != nil {
+	if err := a.serve("readiness", n.node.ReadyAddress, platform.ReadyHandler(ready)); err != nil {
 		return err
 	}
-	if err := n.addMetrics(&g); err != nil {
+	if err := n.addMetrics(a); err != nil {
 		return err
 	}
-	n.addSettingsWatch(&g)
+	n.addSettingsWatch(a)
+	delayedCtx := n.delayShutdown(ctx, a, min(shutdownDelay, n.gracePeriod()/2))
 	// Leadership is resigned as soon as ctx ends; requests in flight continue.
-	addActor(&g, func(run context.Context) error {
+	a.add("leadership", func(run context.Context) error {
 		run, cancel := context.WithCancel(run)
 		defer cancel()
 		stop := context.AfterFunc(ctx, cancel)
@@ -191,9 +193,8 @@
 		_ = contain.Loop(run, n.logger, "leadership", jobLeader.Run)
 		<-delayedCtx.Done()
 		return nil
-	}, nil)
-	addStopSignal(&g, delayedCtx)
-	return g.Run()
+	})
+	return a.run(delayedCtx)
 }
 
 // restartOnPanic wraps a loop so that it is restarted if it panics. name is a label value of
@@ -202,14 +203,15 @@
 	return func(ctx context.Context) error { return contain.Loop(ctx, n.logger, name, loop) }
 }
 
-// delayShutdown returns a context that ends shutdownDelay after ctx. The node counts as
-// stopping from the end of ctx.
-func (n *PlatformNode) delayShutdown(ctx context.Context) context.Context {
+// delayShutdown returns a context that ends delay after ctx. The node counts as stopping, and the
+// grace period of its actors begins, at the end of ctx.
+func (n *PlatformNode) delayShutdown(ctx context.Context, a *actors, delay time.Duration) context.Context {
 	delayedCtx, cancel := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() {
 		n.stopping.Store(true)
+		a.beginShutdown()
 		n.logger.Info("process shutting down")
-		time.AfterFunc(shutdownDelay, cancel)
+		time.AfterFunc(delay, cancel)
 	})
 	return delayedCtx
 }
@@ -225,26 +227,16 @@
 	})
 }
 
-func (n *PlatformNode) addHTTP(g *run.Group, address string, handler http.Handler) error {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	addServer(g, ln, server, n.node.Bounds.GracePeriod-shutdownDelay-shutdownMargin, nil)
-	return nil
-}
-
-func (n *PlatformNode) addMetrics(g *run.Group) error {
+func (n *PlatformNode) addMetrics(a *actors) error {
 	handler := http.NewServeMux()
 	handler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return n.addHTTP(g, net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), handler)
+	return a.serve("metrics", net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), handler)
 }
 
 // addSettingsWatch adds an actor that reads the settings file on SIGHUP and at an interval, and
 // logs each change and each SIGHUP. Changed settings are not applied before a restart.
-func (n *PlatformNode) addSettingsWatch(g *run.Group) {
-	addActor(g, func(ctx context.Context) error {
+func (n *PlatformNode) addSettingsWatch(a *actors) {
+	a.add("settings file", func(ctx context.Context) error {
 		ticker := time.NewTicker(settingsPollInterval)
 		defer ticker.Stop()
 		current, err := os.ReadFile(n.settingsPath)
@@ -270,7 +262,7 @@
 			}
 			current = data
 		}
-	}, nil)
+	})
 }
 
 // RunAgent runs an agent until ctx ends.
@@ -292,20 +284,19 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	var g run.Group
+	a := newActors(n.logger, n.gracePeriod())
 	reports := platform.ReportHandler(&runnerReports{supervisor: runnerSupervisor, logger: n.logger})
-	if err := n.addHTTP(&g, n.node.ReportAddress, reports); err != nil {
+	if err := a.serve("reports", n.node.ReportAddress, reports); err != nil {
 		return err
 	}
-	if err := n.addMetrics(&g); err != nil {
+	if err := n.addMetrics(a); err != nil {
 		return err
 	}
-	n.addSettingsWatch(&g)
-	addActor(&g, n.restartOnPanic("runner", runnerSupervisor.Run), nil)
-	addActor(&g, n.restartOnPanic("registration", agentFollower.Register), nil)
-	addActor(&g, n.restartOnPanic("sessions", func(ctx context.Context) error { return agentFollower.Serve(ctx, peers) }), nil)
-	addStopSignal(&g, ctx)
-	return g.Run()
+	n.addSettingsWatch(a)
+	a.add("runner", n.restartOnPanic("runner", runnerSupervisor.Run))
+	a.add("registration", n.restartOnPanic("registration", agentFollower.Register))
+	a.add("sessions", n.restartOnPanic("sessions", func(ctx context.Context) error { return agentFollower.Serve(ctx, peers) }))
+	return a.run(n.delayShutdown(ctx, a, 0))
 }
 
 // malformedReportLogs bounds the log lines of malformed reports; their sender may repeat them.
