daemon: answer requests in flight before connections are closed

Cause: a request that still waited for the store or the leader at the end of a shutdown was cut off with its connection. The caller did not learn whether it may have had an effect.

Change: the contexts of requests end 300 ms before the connections are closed, 1.5 s before the end of the grace period. The intake then answers as it does at a caller's deadline: 503 without an effect, 504 if there may be one.

--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -19,6 +19,9 @@
 
 // Times of a shutdown, each as what then remains of the grace period.
 const (
+	// answerMargin is when the contexts of requests in flight end, so that these are answered before
+	// closeMargin.
+	answerMargin = 1500 * time.Millisecond
 	// closeMargin is when connections that still carry a request are closed.
 	closeMargin = 1200 * time.Millisecond
 	// exitMargin is when the process exits although some of its actors have not returned.
@@ -44,7 +47,10 @@
 	// servers are added by serve, loops by add, before run.
 	servers []*server
 	loops   []loop
-
+	// requests is the context of all requests. It ends answerMargin before the end of the grace
+	// period.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// overdue is closed exitMargin before the end of the grace period.
 	overdue chan struct{}
 
@@ -71,7 +77,9 @@
 }
 
 func newActors(logger log.Interface, grace time.Duration) *actors {
-	return &actors{logger: logger, grace: grace, overdue: make(chan struct{}), interruptedAt: map[string]time.Time{}}
+	a := &actors{logger: logger, grace: grace, overdue: make(chan struct{}), interruptedAt: map[string]time.Time{}}
+	a.requests, a.endRequests = context.WithCancel(context.Background())
+	return a
 }
 
 // add adds a loop, which returns when its context ends. The name is unique.
@@ -87,6 +95,7 @@
 	}
 	s := &server{name: name, listener: ln, closed: make(chan struct{})}
 	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout, idleTimeout
+	s.BaseContext = func(net.Listener) context.Context { return a.requests }
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
 		defer s.requests.Add(-1)
@@ -104,6 +113,7 @@
 		return
 	}
 	a.shutdownAt = time.Now()
+	time.AfterFunc(a.grace-answerMargin, a.endRequests)
 	time.AfterFunc(a.grace-exitMargin, func() { close(a.overdue) })
 }
 
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"bamboowood/platform/platformtest"
 )
 
 // stopWithin stops a node and checks that this takes at most limit.
@@ -42,3 +45,19 @@
 	d.stopWithin(entry, grace)
 	d.stopWithin(agent, grace)
 }
+
+// Guards against a request that is cut off at the end of the grace period instead of being answered.
+func TestPlatform_ShutdownAnswersRequests(t *testing.T) {
+	d := newDeployment(t, time.Second)
+	entry := testEntries[0]
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.stopWithin(entry, d.node(entry).Bounds.GracePeriod)
+	}()
+	<-time.After(time.Second)
+	d.store.SetFault(platformtest.Silent)
+	status, _ := d.request(entry, http.MethodPost, "00000000000000d1", twoSteps)
+	test.SliceContains(t, []int{http.StatusServiceUnavailable, http.StatusGatewayTimeout}, status)
+	<-stopped
+}
