leader: end a query to the leading entry when its context ends

Change: a query returns when its context ends. One that its caller cancelled does not close the session to the leader, which other queries use.

--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -124,7 +124,7 @@
 	}
 	answer, err := exchange(ctx, session, q)
 	if err != nil {
-		c.dropSession(session)
+		c.dropSessionAfter(ctx, session)
 		return fmt.Errorf("relay to the leader: %w", err)
 	}
 	switch answer.Relay {
@@ -147,7 +147,7 @@
 	defer cancel()
 	answer, err := c.queryAt(ctx, address, q)
 	if err != nil {
-		if !errors.Is(err, errUnreachable) {
+		if !errors.Is(err, errUnreachable) && !errors.Is(ctx.Err(), context.Canceled) {
 			c.Leader.opts.Logger.WithError(err).WithField("leader", address).Warn("query to the leader failed")
 		}
 		return nil
@@ -162,12 +162,12 @@
 	}
 	answer, err := exchange(ctx, session, q)
 	if err != nil {
-		// An unresponsive connection would delay every query until its timeout.
-		c.dropSession(session)
+		c.dropSessionAfter(ctx, session)
 	}
 	return answer, err
 }
 
+// exchange sends a query and returns the answer, or an error as soon as ctx ends.
 func exchange(ctx context.Context, session wire.Session, q *wirepb.Query) (*wirepb.QueryAnswer, error) {
 	stream, err := session.Open(ctx)
 	if err != nil {
@@ -179,6 +179,8 @@
 			return nil, err
 		}
 	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
 	if err := stream.Send(q); err != nil {
 		return nil, err
 	}
@@ -217,7 +219,12 @@
 	return session, nil
 }
 
-func (c *Client) dropSession(session wire.Session) {
+// dropSessionAfter closes a session after a query that failed: an unresponsive connection would delay
+// every query until its timeout. A query that its caller cancelled does not show that.
+func (c *Client) dropSessionAfter(ctx context.Context, session wire.Session) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.session == session {
