supervisor: end throttle calls when the agent stops

Cause: a throttle call had no context of its caller, and the supervisor waits for all calls when it stops. With a runner that does not answer, the calls that waited for one of 10 slots ended in turn, 400 ms each; a leader without a connection slows down all best-effort runs at once.

Change: throttle calls end with the context of Run, and those without a slot are not made.

--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -43,6 +43,8 @@
 	// unreadable is the number of malformed entries in each report. The runner does not wait if there
 	// are any.
 	unreadable int
+	// throttleSilent leaves throttle calls without an answer.
+	throttleSilent bool
 	// leaseEnds are the requested lease ends of all renewals, in order.
 	leaseEnds []time.Duration
 	startedAt time.Time
@@ -145,10 +147,16 @@
 	}
 }
 
-func (f *fakeRunner) Throttle(_ context.Context, _ runner.Fence, _ job.Run, percent int) error {
+func (f *fakeRunner) Throttle(ctx context.Context, _ runner.Fence, _ job.Run, percent int) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.speeds = append(f.speeds, percent)
+	if f.throttleSilent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return ctx.Err()
+	}
 	return nil
 }
 
@@ -162,6 +170,8 @@
 	// suspended is how long the machine has been suspended, in nanoseconds. The runner's clock
 	// does not count that time.
 	suspended *atomic.Int64
+	// stop ends the context of Run and waits until Run has returned.
+	stop func()
 }
 
 func runTest(t *testing.T, prepare func(*fakeRunner), check func(h *harness)) {
@@ -184,9 +194,12 @@
 			defer close(done)
 			_ = s.Run(ctx)
 		}()
-		check(&harness{Supervisor: s, fake: fake, t: t, suspended: &suspended})
-		cancel()
-		<-done
+		stop := func() {
+			cancel()
+			<-done
+		}
+		check(&harness{Supervisor: s, fake: fake, t: t, suspended: &suspended, stop: stop})
+		stop()
 	})
 }
 
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -259,3 +259,25 @@
 		})
 	}
 }
+
+// Guards against an agent that outlasts its grace period: throttle calls to a runner that does not
+// answer must not end one after another once the agent stops.
+func TestSupervisor_StopsDuringThrottleCalls(t *testing.T) {
+	const runs = 10 * maxCalls
+	runTest(t, func(f *fakeRunner) { f.throttleSilent = true }, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.grantLease()
+		for n := range runs {
+			h.startRun(int64(n + 1))
+		}
+		synctest.Wait()
+		for n := range runs {
+			h.Throttle(job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: int64(n + 1)}, 50)
+		}
+		synctest.Wait()
+		must.Len(t, maxCalls, h.fake.speeds)
+		began := time.Now()
+		h.stop()
+		test.LessEq(t, orderTimeout, time.Since(began))
+	})
+}
--- a/internal/supervisor/pacer.go
+++ b/internal/supervisor/pacer.go
@@ -111,7 +111,10 @@
 	s.calls.Go(func() {
 		s.callSlots <- struct{}{}
 		defer func() { <-s.callSlots }()
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		if s.throttling.Err() != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(s.throttling, orderTimeout)
 		defer cancel()
 		err := s.opts.Runner.Throttle(ctx, fence, run, percent)
 		s.mu.Lock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -173,6 +173,9 @@
 	renewNow    chan struct{}
 	callSlots   chan struct{}
 	calls       sync.WaitGroup
+	// throttling is the context of throttle calls. It ends with the context of Run.
+	throttling    context.Context
+	endThrottling context.CancelFunc
 }
 
 // restartGraceFactor times MaxLease is the time after a restart of the runner by which the
@@ -187,7 +190,9 @@
 // New returns a Supervisor. It calls the runner only while Run runs.
 func New(opts Options) *Supervisor {
 	earlierLeaseUntil := opts.Now() + opts.MaxLease + leaseMargin
+	throttling, endThrottling := context.WithCancel(context.Background())
 	return &Supervisor{
+		throttling: throttling, endThrottling: endThrottling,
 		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
@@ -371,6 +376,8 @@
 // Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err().
 func (s *Supervisor) Run(ctx context.Context) error {
 	defer s.calls.Wait()
+	stop := context.AfterFunc(ctx, s.endThrottling)
+	defer stop()
 	s.renewLoop(ctx)
 	return ctx.Err()
 }
