daemon: end an entry when one of its actors fails

Cause: the loop for the leadership waited for SIGTERM after it had ended, also when the group was interrupted because another actor had failed, for example the accept loop for peers. The entry then went on without its loops and its servers, and was not restarted.

Change: it waits for the end of its own context, which comes after that of the delay and of the requests in flight.

--- a/internal/daemon/actors_test.go
+++ b/internal/daemon/actors_test.go
@@ -99,3 +99,17 @@
 	_, err := net.Dial("tcp", url[len("http://"):])
 	test.Error(t, err)
 }
+
+// Guards against an entry that does not end after one of its actors has failed, because its loop for
+// the leadership goes on waiting for SIGTERM.
+func TestActors_FailureWithoutSignal(t *testing.T) {
+	const grace = exitMargin + 300*time.Millisecond
+	a, _, _ := newTestActors(t, grace, nil)
+	a.add("leadership", untilStop(t.Context(), func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}))
+	failure := errors.New("failed")
+	a.add("failing", func(context.Context) error { return failure })
+	test.ErrorIs(t, a.run(t.Context()), failure)
+}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -183,17 +183,7 @@
 	}
 	n.addSettingsWatch(a)
 	delayedCtx := n.delayShutdown(ctx, a, min(shutdownDelay, n.gracePeriod()/2))
-	// Leadership is resigned as soon as ctx ends; requests in flight continue.
-	a.add("leadership", func(run context.Context) error {
-		run, cancel := context.WithCancel(run)
-		defer cancel()
-		stop := context.AfterFunc(ctx, cancel)
-		defer stop()
-		// The loop returns only when its context ends, with the context's error.
-		_ = contain.Loop(run, n.logger, "leadership", jobLeader.Run)
-		<-delayedCtx.Done()
-		return nil
-	})
+	a.add("leadership", untilStop(ctx, n.restartOnPanic("leadership", jobLeader.Run)))
 	return a.run(delayedCtx)
 }
 
@@ -203,6 +193,20 @@
 	return func(ctx context.Context) error { return contain.Loop(ctx, n.logger, name, loop) }
 }
 
+// untilStop wraps a loop that ends as soon as stop does, so that an entry resigns the leadership while
+// its requests in flight continue. The result returns when its own context ends.
+func untilStop(stop context.Context, loop func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		loopCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(stop, cancel)()
+		// The loop returns only when its context ends, with the context's error.
+		_ = loop(loopCtx)
+		<-ctx.Done()
+		return nil
+	}
+}
+
 // delayShutdown returns a context that ends delay after ctx. The node counts as stopping, and the
 // grace period of its actors begins, at the end of ctx.
 func (n *PlatformNode) delayShutdown(ctx context.Context, a *actors, delay time.Duration) context.Context {
