planner: take a run that is listed late for alive

An agent may list a run only after its first list: the earlier runner answers again at the address, or a start that an earlier agent process sent is carried out late. The planner applied such a list to the runs that it has, but left a run that it had marked as possibly unknown to the agent to its deadline, after which the task was started again while the agent extended the run's lease. A run that it did not have, as after a takeover, was ignored for good: its task was started beside it, and it was never stopped.

A run that an update lists is now treated as one of a first list: kept, adopted, or stopped. The supervisor takes a run that it drops out of the pending list of active runs, as it did for ends; the leader applies that list last and would adopt the run again.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -403,15 +403,18 @@
 	}
 }
 
-// ActivityReported applies an agent's report on its active runs.
+// ActivityReported applies an agent's report on some of its active runs. It may be the first that lists
+// a run which started before its process did.
 func (p *Planner) ActivityReported(now time.Duration, id string, active []job.Activity) {
 	a := p.agents[id]
 	if a == nil || a.state != live {
 		return
 	}
 	for _, act := range active {
-		if r := a.runs[act.Run]; r != nil {
+		if r := a.runs[act.Run]; r != nil && r.detachedUntil == 0 {
 			p.applyActivity(now, r, act)
+		} else {
+			p.applyReportedRun(now, a, act)
 		}
 	}
 	p.observeInterference(now, a, active)
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -191,3 +191,53 @@
 	_, known := f.MaxCapacity(testService)
 	test.True(t, known)
 }
+
+// Guards against dropping a run that its restarted agent lists only after its first list, as alive on the
+// earlier runner that answers again: its lease is extended from then on, and its task ran twice.
+func TestPlanner_UnlistedRunIsListedLater(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	active := []job.Activity{{Run: starts[0].Run}}
+	f.ActivityReported(f.now, "a", active)
+	f.agent("b")
+	f.AgentLost("a", f.now+6*time.Second)
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	f.now += time.Second
+	f.ActivityReported(f.now, "a", active)
+	f.now += 6 * time.Second
+	test.Len(t, 0, f.plan().Starts)
+}
+
+// Guards against the same after a takeover: the run is unknown to the new leader until an update lists it.
+func TestPlanner_UnknownRunIsListedLater(t *testing.T) {
+	f := newFixture(t, 2)
+	f.AddUnreportedAgent("a", f.now+13*time.Second)
+	f.add(testJob(1, step(1)), nil, true)
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	run := job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 7}
+	f.ActivityReported(f.now, "a", []job.Activity{{Run: run}})
+	f.now += 6 * time.Second
+	test.Len(t, 0, f.plan().Starts)
+	test.MapContainsKey(t, f.agents["a"].runs, run)
+}
+
+// Guards against an unknown run that is listed beside its task's current one and is never stopped.
+func TestPlanner_SecondRunIsListedLater(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	other := starts[0].Run
+	other.Number++
+	f.agent("b")
+	f.ActivityReported(f.now, "b", []job.Activity{{Run: other}})
+	stops := f.plan().Stops
+	must.Len(t, 1, stops)
+	test.Eq(t, Stop{Agent: "b", Run: other}, stops[0])
+}
--- a/internal/supervisor/drop.go
+++ b/internal/supervisor/drop.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,12 @@
 // has expired.
 func (s *Supervisor) leaseLeft() time.Duration { return s.runnerLeaseUntil - s.opts.Now() }
 
+// forgetActivity removes a run that is gone from the pending update. The leader applies the list of active
+// runs last, and would take the run for alive.
+func (s *Supervisor) forgetActivity(run job.Run) {
+	s.update.Active = slices.DeleteFunc(s.update.Active, func(act job.Activity) bool { return act.Run == run })
+}
+
 // dropRun removes a run that is not alive on the runner and cannot start later, and reports
 // it as refused.
 func (s *Supervisor) dropRun(run job.Run, reason runner.Refusal, cause string) {
@@ -55,6 +62,7 @@
 		return
 	}
 	delete(s.runs, run)
+	s.forgetActivity(run)
 	s.update.Refusals = append(s.update.Refusals, RefusedStart{Run: run, Reason: reason})
 	countDroppedRun(cause, reason)
 	s.opts.Logger.WithFields(log.Fields{
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -279,8 +278,7 @@
 		delete(s.runs, e.Run)
 		s.ends = append(s.ends, e)
 		s.update.Ends = append(s.update.Ends, e)
-		// The leader applies ends before the list of active runs, and would take the run for alive.
-		s.update.Active = slices.DeleteFunc(s.update.Active, func(act job.Activity) bool { return act.Run == e.Run })
+		s.forgetActivity(e.Run)
 		s.opts.Logger.WithFields(log.Fields{
 			"task": e.Run.Task.String(), "run": e.Run.Number, "reason": string(e.Reason), "sequence": e.Sequence,
 		}).Info("run ended")
--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -330,3 +330,26 @@
 		test.Zero(t, snapshot.UnlistedFor)
 	})
 }
+
+// Guards against an update that lists a run as active beside its refusal: the leader took it for alive, and
+// its task never ran again.
+func TestSupervisor_DroppedRunIsNotListed(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.fake.setRunner("i-1", 100)
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 1}))
+		time.Sleep(50 * time.Millisecond)
+		h.TakeUpdate()
+		h.grantLease()
+		run := h.startRun(1)
+		// No update is taken meanwhile, as while the connection to the leader is slow.
+		time.Sleep(50 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.active = nil
+		h.fake.mu.Unlock()
+		time.Sleep((maxReportsNotListed + 1) * renewWait)
+		u, _ := h.TakeUpdate()
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, run, u.Refusals[0].Run)
+		test.Len(t, 0, u.Active)
+	})
+}
