supervisor: keep runs whose end the runner has not listed yet

A runner lists 500 ends at a time and keeps the others back until these are acknowledged. A run whose end is beyond a full list is in neither list; after three reports the agent took it for gone, and the leader started its task again after the run had ended, possibly as done. It needs 500 ends of one runner that the ledger has not stored, as when commits are slow for long.

A report now says whether its list of ends is full. If so, a run that it lacks is kept.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,6 +71,8 @@
 	StartTime int64
 	Active    []job.Activity
 	Ends      []job.End
+	// MoreEnds is set if the runner may hold further ends, which it lists once these are acknowledged.
+	MoreEnds bool
 	// Unreadable counts malformed entries that were left out. UnreadableReason is the error of
 	// the first one.
 	Unreadable       int
--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -43,6 +43,8 @@
 	// unreadable is the number of malformed entries in each report. The runner does not wait if there
 	// are any.
 	unreadable int
+	// maxEnds bounds the ends in each report; 0 means no bound.
+	maxEnds int
 	// leaseEnds are the requested lease ends of all renewals, in order.
 	leaseEnds []time.Duration
 	startedAt time.Time
@@ -132,8 +134,13 @@
 		}
 		if len(f.ends) > 0 || f.unreadable > 0 || !time.Now().Before(deadline) {
 			defer f.mu.Unlock()
+			ends, more := f.ends, f.maxEnds > 0 && len(f.ends) >= f.maxEnds
+			if more {
+				ends = ends[:f.maxEnds]
+			}
 			return runner.Report{
-				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...), Ends: append([]job.End(nil), f.ends...), Unreadable: f.unreadable,
+				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...),
+				Ends: append([]job.End(nil), ends...), MoreEnds: more, Unreadable: f.unreadable,
 			}, nil
 		}
 		f.mu.Unlock()
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -255,7 +255,8 @@
 		s.applyActivity(act)
 	}
 	for run, r := range s.runs {
-		if !listed[run] {
+		// A run in neither list may have an end that the runner has not listed yet.
+		if !listed[run] && !report.MoreEnds {
 			s.runNotListed(sentAt, run, r)
 		}
 	}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -33,6 +33,31 @@
 	})
 }
 
+// Guards against dropping a run whose end the runner keeps back, since its list of ends that the ledger has
+// not stored yet is full: the run was started again after it had ended as done.
+func TestSupervisor_EndBeyondFullList(t *testing.T) {
+	runTest(t, func(f *fakeRunner) { f.maxEnds = 2 }, func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.grantLease()
+		for n := range int64(3) {
+			run := h.startRun(n + 1)
+			h.collectUpdates(50 * time.Millisecond)
+			h.fake.end(run, job.EndDone)
+		}
+		u := h.collectUpdates(time.Second)
+		test.Len(t, 0, u.Refusals)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Len(t, 2, snapshot.Ends)
+		test.Len(t, 1, snapshot.Active)
+		h.EndsStored("i-1", 0, 2)
+		u = h.collectUpdates(time.Second)
+		test.Len(t, 0, u.Refusals)
+		must.Len(t, 1, u.Ends)
+		test.Eq(t, 3, u.Ends[0].Run.Number)
+	})
+}
+
 // The answer to a start is lost after the runner has started the run. A second attempt must
 // confirm the run, which must not be stopped or reported as refused.
 func TestSupervisor_LostAnswerOfStart(t *testing.T) {
