--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -353,3 +353,28 @@
 		test.Len(t, 0, u.Active)
 	})
 }
+
+// Guards against a snapshot without the runs of a runner that has been adopted in place of another one and has
+// not listed its runs yet: an earlier process of the agent may have started some there.
+func TestSupervisor_SnapshotWaitsForListOfNextRunner(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, nil, func(h *harness) {
+		h.fake.setRunner("i-2", 200)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		synctest.Wait()
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-1", 100, []job.Activity{{Run: old}}
+		// Only calls that confirm a report are answered.
+		h.fake.renewErr, h.fake.answeredToken = errNoAnswer, 1
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 900}))
+		_, ok := h.Snapshot()
+		test.False(t, ok)
+		h.fake.setRenewErr(nil)
+		time.Sleep(time.Second)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		must.Len(t, 1, snapshot.Active)
+		test.Eq(t, old, snapshot.Active[0].Run)
+	})
+}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -181,6 +181,7 @@
 	}
 	if !restarted {
 		s.giveUpRuns()
+		s.runsListed = false
 	}
 	s.adoptions++
 	s.runner, s.left, s.unreachable = r, false, false
