supervisor: allow for a step of the clock by twice its error

An agent takes its runner for one that has served its address for longer than a lease by the time of day, and allowed for a step of 5 s. The time of day may be off by maxSkewMs, 5 s, either way, so that a step may be 10 s: a runner that replaced another one a second before looked 11 s old, and the agent said that no unlisted run may be alive.

The price: an agent that starts beside a runner 11 to 16 s old says for up to a lease that runs may be alive which it does not list. TestSupervisor_ClockStepSinceStartOfRunner failed before and passes now.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -378,3 +378,18 @@
 		test.Eq(t, old, snapshot.Active[0].Run)
 	})
 }
+
+// Guards against taking a young runner for one that has served its address for longer than a lease, since the
+// time of day was behind by maxSkew at its start and is ahead by as much now.
+func TestSupervisor_ClockStepSinceStartOfRunner(t *testing.T) {
+	const maxSkew = 5 * time.Second
+	runTest(t, nil, func(h *harness) {
+		born := time.Now().Add(-time.Second - 2*maxSkew).UnixMilli()
+		h.fake.setRunner("i-2", born)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: born, Sequence: 1}))
+		synctest.Wait()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Positive(t, snapshot.UnlistedFor)
+	})
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -237,8 +237,9 @@
 	return u, true
 }
 
-// maxClockStep is by how much the time of day may have been stepped since the runner's start.
-const maxClockStep = 5 * time.Second
+// maxClockStep is by how much the time of day may have been stepped since the runner's start: it may be
+// off by 5 s either way.
+const maxClockStep = 10 * time.Second
 
 // unlistedFor returns for how long runs may be alive that neither this process nor the current runner
 // knows. There are none if the current runner has served its address since before the last lease that
