planner: runners that are replaced in the model test

In the model an agent lost its connection but was never a new process, and a runner was never another one. Now agents restart, runners restart or are replaced while the process of the earlier one lives on to the end of its lease, an earlier one answers again, and all of that around takeovers. No task may start while a run of it is alive on a current or an earlier runner.

The invariant on gangs counts one end as the end of all members, as the planner does.

--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -50,6 +50,15 @@
 	liveRuns  map[job.Run]bool
 	ends      []job.End
 	lastEnd   int64
+	// startedAt is when the agent's process started.
+	startedAt time.Duration
+	// runnerSince is when the current runner replaced another one, incarnation the number of runners so
+	// far.
+	runnerSince time.Duration
+	incarnation int64
+	// earlierRuns holds the runs that are alive on replaced runners, and detached those that the agent's
+	// process knows there, each with the end of its lease. detached also holds runs that have ended.
+	earlierRuns, detached map[job.Run]time.Duration
 }
 
 func (m *model) instant() Instant {
@@ -83,6 +92,7 @@
 					m.endAt(id, run, job.EndLeaseExpired)
 				}
 			}
+			m.expireEarlierRuns(id)
 		}
 		m.plan()
 	}
@@ -113,6 +123,11 @@
 					m.t.Fatalf("start of %v while %v is alive on %s", o.Run, run, id)
 				}
 			}
+			for run := range other.earlierRuns {
+				if run.Task == o.Run.Task {
+					m.t.Fatalf("start of %v while %v is alive on an earlier runner of %s", o.Run, run, id)
+				}
+			}
 		}
 		if m.storedAsDone[o.Run.Task] {
 			m.t.Fatalf("start of %v though its end as done was stored", o.Run)
@@ -121,6 +136,9 @@
 			m.t.Fatalf("start of %v %v before it is due", o.Run, early)
 		}
 		a.liveRuns[o.Run] = true
+		if o.Run.Task.Index%2 == 0 {
+			m.p.ActivityReported(m.now, o.Agent, []job.Activity{{Run: o.Run}})
+		}
 	}
 }
 
@@ -133,13 +151,10 @@
 	for _, e := range a.ends {
 		m.p.RunEnded(m.now, id, e)
 	}
-	var active []job.Activity
-	for run := range a.liveRuns {
-		active = append(active, job.Activity{Run: run})
-	}
 	a.connected = true
 	a.renewedAt = m.now
-	m.p.AgentConnected(m.now, id, testRunner(id), active)
+	m.p.RunsUnlistedUntil(id, a.unlistedUntil(m.now))
+	m.p.AgentConnected(m.now, id, a.runner(id), append(a.detachedActive(), a.active()...))
 }
 
 func (m *model) disconnect(id string) {
@@ -269,10 +284,15 @@
 		reason = job.EndGangMemberLost
 	}
 	for _, member := range m.members(run) {
+		if reason == job.EndDone {
+			// The end of one member stands for all.
+			m.done[member.Task] = true
+		}
 		for _, id := range slices.Sorted(maps.Keys(m.agents)) {
 			if m.agents[id].liveRuns[member] {
 				m.endOne(id, member, reason)
 			}
+			delete(m.agents[id].earlierRuns, member)
 		}
 	}
 }
@@ -288,8 +308,8 @@
 	}
 }
 
-// Agents are lost, leases expire and planners, whose wall clocks differ, are replaced at random.
-// No task may have two live runs, start after its end was stored or long before it is due,
+// Agents are lost and restart, leases expire, runners restart or are replaced while their process lives on,
+// and planners, whose wall clocks differ, are replaced at random. No task may have two live runs, start after its end was stored or long before it is due,
 // stored progress must not shrink, and once the faults cease all jobs must complete.
 func TestModel_TakeoverAndLostAgents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -298,7 +318,9 @@
 			storedAsDone: map[job.Task]bool{}, done: map[job.Task]bool{},
 		}
 		for i := range 3 {
-			m.agents[fmt.Sprintf("a%d", i)] = &modelAgent{renewedAt: m.now, liveRuns: map[job.Run]bool{}}
+			m.agents[fmt.Sprintf("a%d", i)] = &modelAgent{
+				renewedAt: m.now, liveRuns: map[job.Run]bool{}, earlierRuns: map[job.Run]time.Duration{}, detached: map[job.Run]time.Duration{},
+			}
 		}
 		m.takeOver()
 		m.reconnectAll()
@@ -335,8 +357,12 @@
 					m.plan()
 				}
 			},
-			"take over":  func(*rapid.T) { m.takeOver() },
-			"clock step": func(*rapid.T) { m.drawSkew() },
+			"take over":           func(*rapid.T) { m.takeOver() },
+			"agent restarts":      func(*rapid.T) { m.restartAgent() },
+			"runner restarts":     func(*rapid.T) { m.restartRunner() },
+			"runner replaced":     func(*rapid.T) { m.replaceRunner() },
+			"earlier runner back": func(*rapid.T) { m.returnRunner() },
+			"clock step":          func(*rapid.T) { m.drawSkew() },
 		})
 		m.finishAll()
 	})
