leader: apply ends of a runner that does not answer

A leader skips ends by their number, which each incarnation of a runner begins anew, and takes the incarnation from the runner that the message names. A message of an agent whose runner does not answer names none. If the runner had restarted since the last message that did, its ends were taken for ones received before: a run that had ended as done was dropped as not listed, and its task started again. The end was applied after that, once the runner answered.

All ends of such a message are now applied, and none counts as received; applying an end twice changes nothing, and the agent reports them again when its runner answers.

TestLeader_EndsOfNextIncarnationThatDoesNotAnswer failed before and passes now.

--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -12,6 +12,7 @@
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
+	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
 )
 
@@ -111,3 +112,33 @@
 	time.Sleep(3 * time.Second)
 	test.Zero(t, b.count(hasStarts))
 }
+
+// Guards against an end that is taken for one received before, since the agent reports it while its runner,
+// which has restarted, does not answer: the task was started again after its run had ended as done.
+func TestLeader_EndsOfNextIncarnationThatDoesNotAnswer(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	run := func(n int) job.Run { return job.Run{Task: job.Task{Job: testJob(n).ID}, Number: 1} }
+	end := func(sequence int64, n int) []*wirepb.RunEnd {
+		return []*wirepb.RunEnd{{Sequence: sequence, Reason: string(job.EndDone), Run: wire.RunRef(run(n))}}
+	}
+	a := newFakeAgent(t, run(2))
+	a.ends = end(7, 1)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	for n := range 2 {
+		must.NoError(t, jobLedger.Accept(t.Context(), testJob(n+1)))
+	}
+	l, _ := runLeader(t, jobLedger)
+	awaitState := func(n int, want job.State) {
+		t.Helper()
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			state, _, _ := l.Status(testJob(n).ID)
+			return state == want
+		}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	}
+	awaitState(1, job.Completed)
+	awaitState(2, job.Running)
+	a.set(func() { a.active, a.ends, a.noRunner = nil, end(1, 2), true })
+	a.closeSessions()
+	awaitState(2, job.Completed)
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -221,13 +221,15 @@
 	}
 }
 
-// applyEnds passes the ends of a message to the planner, except those received before.
+// applyEnds passes the ends of a message to the planner, except those received before. Without a runner the
+// message does not tell which incarnation numbered its ends, so that they may all be new; the message with
+// which the runner answers again has them as well.
 func (c *agentConn) applyEnds(now time.Duration, m *wirepb.AgentMessage) {
 	if m.Runner != nil && (m.Runner.Id != c.receivedEnds.runner || m.Runner.Born != c.receivedEnds.startTime) {
 		c.receivedEnds = endSequence{runner: m.Runner.Id, startTime: m.Runner.Born}
 	}
 	for _, e := range m.Ends {
-		if e.Sequence <= c.receivedEnds.sequence {
+		if !m.NoRunner && e.Sequence <= c.receivedEnds.sequence {
 			continue
 		}
 		end, err := wire.End(e)
@@ -235,7 +237,9 @@
 			c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Error("malformed run end skipped")
 			continue
 		}
-		c.receivedEnds.sequence = e.Sequence
+		if !m.NoRunner {
+			c.receivedEnds.sequence = e.Sequence
+		}
 		countEnd(end.Reason)
 		c.leadership.planner.RunEnded(now, c.id, end)
 	}
