leader, ledger: hold ends of jobs that this leader does not have

A leader acknowledged ends of jobs that it had quarantined, or could not read, without storing them. A later leader that can run the job, as one of a later version or after the row was repaired, started tasks again after their runs had ended as done. So it did after a quarantine between the report of an end and its commit: the job's unstored progress was discarded, nothing was pending, and the end was acknowledged. An end that made the planner panic was skipped for good and acknowledged with the next one.

Such ends, of done and failed runs, are now stored in a table of their own, heldends, before they are acknowledged. The next leader passes them to the planner with the jobs, and deletes those of jobs that are gone. An end that makes the planner panic quarantines its job.

Keeping them unacknowledged instead would keep back all later ends of their runner, which lists 500.

The part of an end that makes the planner panic has no test: no job is known that does so. TestLoader_ResumesAfterError counted the reads of part main, of which one more table is now read; it counts those of each table, once each.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	r.term.SetProgressVersions(contents)
-	r.jobsToDelete = contents.PartiallyDeleted
+	r.jobsToDelete, r.endsToDelete = contents.PartiallyDeleted, contents.ObsoleteEnds
 	r.recoverPlanner(contents)
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": len(contents.Jobs), "agents": len(agents), "took": (r.opts.Now() - began).String(),
@@ -72,6 +72,9 @@
 	for _, j := range c.Jobs {
 		r.addJob(now, j, c.Progress[j.ID], true)
 	}
+	for _, e := range c.HeldEnds {
+		r.applyEnd(now.Mono, "", e)
+	}
 	for _, id := range c.Cancels {
 		r.planner.Cancel(now.Mono, id)
 	}
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"bamboowood/internal/ledger"
+	"bamboowood/internal/planner"
 )
 
 // commitSpacing is the least time between the starts of two commits, as a multiple of the
@@ -44,7 +45,12 @@
 		r.mu.Unlock()
 		now := r.opts.Now()
 		if !pending {
-			r.reportStoredEnds()
+			if err := r.reportStoredEnds(); errors.Is(err, ledger.ErrDeposed) {
+				return err
+			} else if err != nil && r.ctx.Err() == nil {
+				r.opts.Logger.WithError(err).Warn("ends of runs not held")
+				pause(r.ctx, retryPause)
+			}
 			continue
 		}
 		if !urgent && now-lastCommit < commitInterval || now-lastCommit < commitSpacing*lastDuration {
@@ -74,6 +80,15 @@
 	began := time.Now()
 	err := r.term.Commit(r.ctx, changes)
 	commitSeconds.UpdateDuration(began)
+	r.changesDone(changes, err)
+	if err != nil || pending {
+		return err
+	}
+	return r.holdEnds(received)
+}
+
+// changesDone passes the result of a commit to the planner.
+func (r *leadership) changesDone(changes []planner.Change, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range changes {
@@ -89,10 +104,6 @@
 			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
 		}
 	}
-	if err == nil && !pending {
-		r.sendStoredEnds(received)
-	}
-	return err
 }
 
 // receivedEnds returns the sequence number of the last end received from each agent. It is
@@ -105,24 +116,19 @@
 	return received
 }
 
-func (r *leadership) sendStoredEnds(received map[*agentConn]endSequence) {
-	for conn, ends := range received {
-		conn.sendStoredEnds(ends)
-	}
-}
-
 // reportStoredEnds notifies the agents of stored ends if no change is pending. It covers ends
 // that caused no change. No commit has shown that the term goes on, so it must have been renewed
 // recently: ends that mean nothing to this leader may matter to a later one.
-func (r *leadership) reportStoredEnds() {
+func (r *leadership) reportStoredEnds() error {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.opts.Now() >= r.renewedAt+startValidity {
-		return
-	}
-	if pending, _ := r.planner.Pending(); !pending {
-		r.sendStoredEnds(r.receivedEnds())
+	pending, _ := r.planner.Pending()
+	current := r.opts.Now() < r.renewedAt+startValidity
+	received := r.receivedEnds()
+	r.mu.Unlock()
+	if pending || !current {
+		return nil
 	}
+	return r.holdEnds(received)
 }
 
 // collectGarbage logs statistics, compacts the rows of ended jobs, and deletes jobs whose
@@ -162,5 +168,9 @@
 		return err
 	}
 	r.jobsToDelete = nil
+	if err := r.term.DeleteHeldEnds(r.ctx, r.endsToDelete); err != nil {
+		return err
+	}
+	r.endsToDelete = nil
 	return nil
 }
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -54,10 +54,11 @@
 	// renewedAt is when the last successful term renewal was sent.
 	renewedAt time.Duration
 
-	// deadAgents, jobsToDelete and jobsToCompact are used only by the commit loop. deadAgents
-	// holds the agents whose registrations have been or are to be removed.
+	// deadAgents, jobsToDelete, jobsToCompact and endsToDelete are used only by the commit loop.
+	// deadAgents holds the agents whose registrations have been or are to be removed.
 	deadAgents                  map[string]bool
 	jobsToDelete, jobsToCompact []string
+	endsToDelete                []job.End
 
 	// Each of these channels wakes one loop and has a capacity of 1.
 	wakePlan   chan struct{}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -52,6 +52,8 @@
 	// process's clock when the heartbeat was received.
 	agentClock, heartbeatAt time.Duration
 	receivedEnds            endSequence
+	// unstored are the received ends of that incarnation of which the agent has not been notified.
+	unstored []job.End
 	// storedEnds are the ends of which the agent has been notified as stored in this session.
 	storedEnds endSequence
 	// version is the version of the agent's latest registration, removedVersion of the one
@@ -226,7 +228,7 @@
 // which the runner answers again has them as well.
 func (c *agentConn) applyEnds(now time.Duration, m *wirepb.AgentMessage) {
 	if m.Runner != nil && (m.Runner.Id != c.receivedEnds.runner || m.Runner.Born != c.receivedEnds.startTime) {
-		c.receivedEnds = endSequence{runner: m.Runner.Id, startTime: m.Runner.Born}
+		c.receivedEnds, c.unstored = endSequence{runner: m.Runner.Id, startTime: m.Runner.Born}, nil
 	}
 	for _, e := range m.Ends {
 		if !m.NoRunner && e.Sequence <= c.receivedEnds.sequence {
@@ -239,9 +241,10 @@
 		}
 		if !m.NoRunner {
 			c.receivedEnds.sequence = e.Sequence
+			c.recordUnstored(end)
 		}
 		countEnd(end.Reason)
-		c.leadership.planner.RunEnded(now, c.id, end)
+		c.leadership.applyEnd(now, c.id, end)
 	}
 }
 
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -19,6 +19,7 @@
 	termsLedTotal     = metrics.NewCounter("bamboowood_terms_led_total")
 	renewFailures     = metrics.NewCounter("bamboowood_term_renewals_failed_total")
 	jobsQuarantined   = metrics.NewCounter("bamboowood_jobs_set_aside_total")
+	endsHeld          = metrics.NewCounter("bamboowood_ends_held_total")
 	unreadableTerms   = metrics.NewCounter("bamboowood_terms_unreadable_total")
 	rowsUnreadable    = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
 	unusableAddresses = metrics.NewCounter("bamboowood_agents_without_address_total")
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -33,6 +33,9 @@
 	// UnknownProgress holds the ids of jobs whose progress could not be decoded. They are not in
 	// Jobs, since their tasks may be done.
 	UnknownProgress []string
+	// HeldEnds are ends of stored jobs that an earlier leader kept, since it did not have the job.
+	// ObsoleteEnds are those of jobs that are not stored or have ended.
+	HeldEnds, ObsoleteEnds []job.End
 
 	progressVersions map[string]int64
 }
@@ -52,6 +55,8 @@
 
 	progress     []store.Row
 	progressRead bool
+	heldEnds     []store.Row
+	heldEndsRead bool
 	// jobs and cancels are indexed by part; an element is nil until its part has been read.
 	jobs, cancels [len(jobParts)]*partRows
 }
@@ -78,8 +83,8 @@
 		}
 		d.progress, d.progressRead = rows, true
 	}
-	if err := d.readParts(ctx, jobTable, &d.jobs); err != nil {
-		return nil, fmt.Errorf("read jobs: %w", err)
+	if err := d.readJobsAndHeldEnds(ctx); err != nil {
+		return nil, err
 	}
 	if err := d.readParts(ctx, cancelTable, &d.cancels); err != nil {
 		return nil, fmt.Errorf("read cancels: %w", err)
@@ -87,6 +92,28 @@
 	return d.contents(), nil
 }
 
+func (d *Loader) readJobsAndHeldEnds(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error {
+		if d.heldEndsRead {
+			return nil
+		}
+		rows, _, err := d.ledger.bulk.ReadAll(ctx, store.ReadRequest{Table: heldEndTable, Part: mainPart})
+		if err != nil {
+			return fmt.Errorf("read held ends: %w", err)
+		}
+		d.heldEnds, d.heldEndsRead = rows, true
+		return nil
+	})
+	group.Go(func() error {
+		if err := d.readParts(ctx, jobTable, &d.jobs); err != nil {
+			return fmt.Errorf("read jobs: %w", err)
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
 // readParts reads the parts of a table that have not been read yet. A part that fails does not
 // keep the others from being read.
 func (d *Loader) readParts(ctx context.Context, table string, parts *[len(jobParts)]*partRows) error {
@@ -129,6 +156,7 @@
 		}
 	}
 	unknownProgress := c.addProgress(d.progress, stored)
+	c.addHeldEnds(d.heldEnds, stored, ended)
 	for i := range jobParts {
 		for _, row := range d.jobs[i].rows {
 			if !ended[row.Key] && !unknownProgress[row.Key] {
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -29,7 +29,7 @@
 )
 
 // failingStore fails the first reads of a part, as many as failures gives, and counts the
-// reads of each part.
+// reads of each part and, as TABLE/PART, of each part of a table.
 type failingStore struct {
 	store.Store
 	mu       sync.Mutex
@@ -42,6 +42,7 @@
 func (s *failingStore) Read(ctx context.Context, r store.ReadRequest, limit int) (store.Page, error) {
 	s.mu.Lock()
 	s.pages[r.Part]++
+	s.pages[r.Table+"/"+r.Part]++
 	fails := s.failures[r.Part] > 0
 	s.failures[r.Part]--
 	s.mu.Unlock()
@@ -70,7 +71,9 @@
 	test.Len(t, 16, contents.Jobs)
 	test.Eq(t, 2+3, s.pages["7"])
 	test.Eq(t, 2, s.pages["3"])
-	test.Eq(t, 1, s.pages["main"])
+	test.Eq(t, 1, s.pages["progress/main"])
+	test.Eq(t, 1, s.pages["heldends/main"])
+	test.Eq(t, 2, s.pages["main"])
 }
 
 func newClient(t *testing.T) (*platform.Store, *platformtest.Store) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -219,6 +219,10 @@
 // HasJob reports whether the planner has the job or has quarantined it.
 func (p *Planner) HasJob(id string) bool { return p.jobs[id] != nil || p.quarantined[id] }
 
+// Tracks reports whether the planner has the job and has not quarantined it: only then do changes hold the
+// ends of its runs.
+func (p *Planner) Tracks(id string) bool { return p.jobs[id] != nil }
+
 // AddJob adds an accepted job. progress is nil if the ledger has no progress of the
 // job. recovered means that an earlier planner may have started it. A job that was
 // added before is left unchanged.
