planner: do not take an unlisted run for stalled

A run that its agent does not list, but that may be alive on an earlier runner, has no reports. After 1.5 s it counted as stalled: it was stopped, which has no effect, and the next runner on that VM was avoided for its task.

TestPlanner_UnlistedRunIsNotStalled failed before and passes now.

--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -104,14 +104,14 @@
 }
 
 // stopStalledRuns stops stalled runs, runs that would outlast their draining runner, and
-// runs at speed 0 that can move to another runner.
+// runs at speed 0 that can move to another runner. Runs that their agent may not know are left alone.
 func (p *Planner) stopStalledRuns(now time.Duration) {
 	for _, a := range p.orderedAgents {
 		if a.state != live || a.runner == nil {
 			continue
 		}
 		for _, r := range a.runs {
-			if r.phase != running {
+			if r.phase != running || r.detachedUntil != 0 {
 				continue
 			}
 			if r.step.isStalled(now, r) {
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -241,3 +241,22 @@
 	must.Len(t, 1, stops)
 	test.Eq(t, Stop{Agent: "b", Run: other}, stops[0])
 }
+
+// Guards against taking a run that its agent does not know for stalled: nothing reports its progress, and the
+// next runner on that VM was avoided for its task.
+func TestPlanner_UnlistedRunIsNotStalled(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	f.ActivityReported(f.now, "a", []job.Activity{{Run: starts[0].Run}})
+	f.AgentLost("a", f.now+6*time.Second)
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	f.now += 4 * time.Second
+	test.Len(t, 0, f.plan().Stops)
+	test.Zero(t, f.Stats().Stalls)
+	f.now += 2 * time.Second
+	test.Len(t, 1, f.plan().Starts)
+}
