--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -239,7 +239,7 @@
 	f.ActivityReported(f.now, "b", []job.Activity{{Run: other}})
 	stops := f.plan().Stops
 	must.Len(t, 1, stops)
-	test.Eq(t, Stop{Agent: "b", Run: other}, stops[0])
+	test.Eq(t, Stop{Agent: "b", Run: other, Reason: StopOtherRun}, stops[0])
 }
 
 // Guards against taking a run that its agent does not know for stalled: nothing reports its progress, and the
