ledger: do not start a job anew whose row cannot be read

A job row that another writer has replaced is skipped when a term begins. If the caller then repeated its submission, the entry found the row and told the leader of an accepted job, which the leader did not have: it was added without its progress, and tasks that were done ran again.

A job that has progress and cannot be read itself is now kept out of the planner, like one whose progress cannot be read.

--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -332,6 +332,28 @@
 	test.Eq(t, version, page.Rows[0].Version)
 }
 
+// Guards against a job that a repeated submission starts anew, since its row cannot be read: its progress
+// shows that tasks of it are done.
+func TestLeader_UnreadableJobWithProgress(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	unreadable, other := testJob(1), testJob(2)
+	writeRow(t, hooked, "progress", unreadable.ID, `{"state":"running","open":{"0":{"done":["AQ=="]}}}`)
+	_, err := hooked.Apply(t.Context(), store.Tx{Writes: []store.Write{{
+		Key: store.Key{Table: "jobs", Part: unreadable.ID[:1], Key: unreadable.ID}, Value: []byte("odd"),
+	}}})
+	must.NoError(t, err)
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	must.True(t, l.jobAccepted(unreadable))
+	must.NoError(t, jobLedger.Accept(t.Context(), other))
+	a.await(t, func(m *wirepb.LeaderMessage) bool { return startsJob(m, other.ID) })
+	time.Sleep(planInterval)
+	test.Zero(t, a.count(func(m *wirepb.LeaderMessage) bool { return startsJob(m, unreadable.ID) }))
+}
+
 func startsJob(m *wirepb.LeaderMessage, id string) bool {
 	return slices.ContainsFunc(m.Starts, func(o *wirepb.StartOrder) bool {
 		return strings.HasPrefix(o.Details.Run.Task, id)
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -30,8 +30,9 @@
 	PartiallyDeleted []string
 	// Unreadable holds one error for each row that could not be decoded and was skipped.
 	Unreadable []error
-	// UnknownProgress holds the ids of jobs whose progress could not be decoded. They are not in
-	// Jobs, since their tasks may be done.
+	// UnknownProgress holds the ids of jobs whose progress could not be decoded, or that have progress but
+	// could not be decoded themselves. They are not in Jobs, and must not be added later, since their tasks
+	// may be done.
 	UnknownProgress []string
 	// HeldEnds are ends of stored jobs that an earlier leader kept, since it did not have the job.
 	// ObsoleteEnds are those of jobs that are not stored or have ended.
@@ -159,8 +160,13 @@
 	c.addHeldEnds(d.heldEnds, stored, ended)
 	for i := range jobParts {
 		for _, row := range d.jobs[i].rows {
-			if !ended[row.Key] && !unknownProgress[row.Key] {
-				c.addJob(DecodeJob(row.Key, row.Value))
+			if ended[row.Key] || unknownProgress[row.Key] {
+				continue
+			}
+			j, err := DecodeJob(row.Key, row.Value)
+			c.addJob(j, err)
+			if err != nil && c.Progress[row.Key] != nil {
+				c.UnknownProgress = append(c.UnknownProgress, row.Key)
 			}
 		}
 	}
