planner: drop the runs of an interrupted plan beside unlisted ones

A plan that panicked leaves its starts to the next one. If their agent sent its first list meanwhile and may have runs that it does not list, these runs were marked as possibly alive until then, though no start had been sent. The next plan ordered them, and they were given up at the deadline unless the agent had listed them before.

They are now dropped, as without unlisted runs. TestPlanner_InterruptedPlanAndUnlistedRuns failed before and passes now.

--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -160,7 +160,7 @@
 	for id, r := range a.runs {
 		switch {
 		case reported[id] || !canDrop(r):
-		case now < max(a.unlistedUntil, r.detachedUntil):
+		case !r.planned && now < max(a.unlistedUntil, r.detachedUntil):
 			r.detachedUntil = max(a.unlistedUntil, r.detachedUntil)
 		default:
 			p.dropRun(now, r)
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -130,3 +130,24 @@
 		}
 	})
 }
+
+// Guards against the same while the agent may have runs that it does not list: the runs of the interrupted plan
+// were kept as possibly alive, ordered by the next plan, and given up while they were alive.
+func TestPlanner_InterruptedPlanAndUnlistedRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	good, bad := testJob(1, step(2)), testJob(2, step(3))
+	f.add(good, nil, false)
+	f.add(bad, nil, false)
+	badStep := &f.jobs[bad.ID].open[0].steps[0]
+	badStep.runsOnAgent = nil // makes Plan panic after the starts of the good job
+	must.NotNil(t, f.planPanic())
+	badStep.runsOnAgent = map[*agent]int{}
+	must.Len(t, 2, f.starts)
+	f.Quarantine(f.now, f.CurrentJob())
+	f.RunsUnlistedUntil("a", f.now+5*time.Second)
+	f.agent("a")
+	must.Len(t, 2, f.plan().Starts)
+	f.now += 5 * time.Second
+	test.Len(t, 0, f.plan().Starts)
+}
