ledger: ignore rows of jobs and cancels in other parts

A new leader read the jobs and cancels of each part whatever their key, while the feeds took only those in the part of their id. So a row of another writer in a lower part was run in place of the job that was accepted under its id, and a cancel there ended a job at the next change of leaders. Cancels whose key is no job's id cost two reads of the store each. Both are now skipped and counted as unreadable rows, by the loader and by the feeds.

TestLoader_RowsInOtherParts and TestCancels_OddKeys failed before (4 jobs read instead of 1; 6 keys of 6 taken for cancels by the feed) and pass now, with the other tests of internal/ledger.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -146,8 +147,8 @@
 		return nil, err
 	}
 	c := &Contents{Version: version}
-	for _, row := range rows {
-		if !row.Deleted && row.Part == jobPart(row.Key) && !bytes.Equal(row.Value, compactedJob) {
+	for _, row := range c.ownRows(stored(rows)) {
+		if !bytes.Equal(row.Value, compactedJob) {
 			c.addJob(DecodeJob(row.Key, row.Value))
 		}
 	}
@@ -162,10 +163,13 @@
 		return nil, err
 	}
 	c := &Contents{Version: version}
-	for _, row := range rows {
-		if !row.Deleted && row.Part == jobPart(row.Key) {
-			c.Cancels = append(c.Cancels, row.Key)
-		}
+	for _, row := range c.ownRows(stored(rows)) {
+		c.Cancels = append(c.Cancels, row.Key)
 	}
 	return c, nil
 }
+
+// stored returns the rows of a feed that are not deleted.
+func stored(rows []store.Row) []store.Row {
+	return slices.DeleteFunc(rows, func(row store.Row) bool { return row.Deleted })
+}
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -116,24 +116,24 @@
 		Version: min(d.jobs[0].version, d.cancels[0].version),
 	}
 	stored, ended := map[string]bool{}, map[string]bool{}
+	var jobs []store.Row
 	for i := range jobParts {
 		c.Version = min(c.Version, d.jobs[i].version, d.cancels[i].version)
-		for _, row := range d.jobs[i].rows {
-			stored[row.Key] = true
-			if bytes.Equal(row.Value, compactedJob) {
-				ended[row.Key] = true
-			}
-		}
-		for _, row := range d.cancels[i].rows {
+		jobs = append(jobs, c.ownRows(d.jobs[i].rows)...)
+		for _, row := range c.ownRows(d.cancels[i].rows) {
 			c.Cancels = append(c.Cancels, row.Key)
 		}
 	}
+	for _, row := range jobs {
+		stored[row.Key] = true
+		if bytes.Equal(row.Value, compactedJob) {
+			ended[row.Key] = true
+		}
+	}
 	unknownProgress := c.addProgress(d.progress, stored)
-	for i := range jobParts {
-		for _, row := range d.jobs[i].rows {
-			if !ended[row.Key] && !unknownProgress[row.Key] {
-				c.addJob(DecodeJob(row.Key, row.Value))
-			}
+	for _, row := range jobs {
+		if !ended[row.Key] && !unknownProgress[row.Key] {
+			c.addJob(DecodeJob(row.Key, row.Value))
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(ended)) {
@@ -149,6 +149,20 @@
 	return c
 }
 
+// ownRows returns the rows of jobTable or cancelTable whose key is a job's id in the part of that id.
+// Only another writer leaves others.
+func (c *Contents) ownRows(rows []store.Row) []store.Row {
+	own := make([]store.Row, 0, len(rows))
+	for _, row := range rows {
+		if !job.ValidID(row.Key) || row.Part != jobPart(row.Key) {
+			c.Unreadable = append(c.Unreadable, fmt.Errorf("row of %s with key %.40q in part %.40q", row.Table, row.Key, row.Part))
+			continue
+		}
+		own = append(own, row)
+	}
+	return own
+}
+
 // addProgress decodes the rows of progress and returns the ids of jobs whose progress cannot be
 // decoded. Such a job must not run: tasks that are done would run again.
 func (c *Contents) addProgress(rows []store.Row, stored map[string]bool) (unknown map[string]bool) {
--- /dev/null
+++ b/internal/ledger/odd_parts_test.go
@@ -0,0 +1,51 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+)
+
+// Guards against a row of another writer in a part that is not that of its key: a new leader ran it
+// in place of the job that was accepted under the id, and cancelled jobs that nobody had cancelled.
+func TestLoader_RowsInOtherParts(t *testing.T) {
+	l, s := newWritableLedger(t)
+	good := &job.Job{ID: "a000000000000001", Payload: "good", Steps: []job.Step{{Tasks: 1}}}
+	must.NoError(t, l.Accept(t.Context(), good))
+	const ended = "a000000000000002"
+	for _, part := range []string{"0", "b", "f"} {
+		writeRow(t, s, "jobs", part, good.ID, `{"payload":"odd","steps":[{"tasks":1}]}`)
+		writeRow(t, s, "jobs", part, ended, `{"ended":true}`)
+		writeRow(t, s, "cancels", part, good.ID, "{}")
+	}
+	contents, err := l.NewLoader().Run(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, contents.Jobs)
+	test.Eq(t, "good", contents.Jobs[0].Payload)
+	test.SliceEmpty(t, contents.Cancels)
+	test.SliceEmpty(t, contents.PartiallyDeleted)
+	test.SliceNotEmpty(t, contents.Unreadable)
+}
+
+// Guards against a read of the ledger for each cancel that names no job: the leader looks for the job
+// of a cancel that it does not have.
+func TestCancels_OddKeys(t *testing.T) {
+	l, s := newWritableLedger(t)
+	must.NoError(t, l.Cancel(t.Context(), "a000000000000001"))
+	for _, key := range []string{"", "a", "a00000000000000g", "a0000000000000001", "ab\x00", "\xff"} {
+		writeRow(t, s, "cancels", key[:min(len(key), 1)], key, "{}")
+	}
+	loaded, err := l.NewLoader().Run(t.Context())
+	must.NoError(t, err)
+	followed, err := l.FollowCancels(t.Context(), 0, time.Second)
+	must.NoError(t, err)
+	for _, contents := range []*ledger.Contents{loaded, followed} {
+		test.Eq(t, []string{"a000000000000001"}, contents.Cancels)
+		test.SliceNotEmpty(t, contents.Unreadable)
+	}
+}
