ledger: refuse progress whose numbers are out of range

Only negative numbers of occurrences were refused. A row of another writer with more occurrences done than the job has made the leader report the job as completed without running it; a failed run with the number 2^63-1 made the next run's number overflow to a negative one, which runners refuse. Such progress is now unknown, and its job is set aside as before.

TestLoader_OddProgressRows with 10 more rows (16 of 22 found unreadable before) and TestStatus_OddProgress (4 of 7 rows answered before) failed and pass now, with internal/ledger, internal/planner and internal/job.

--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// MaxRunNumber bounds the numbers of runs that are read: a higher one is not of this system, whose
+// numbers begin at 65,536 times that of the term.
+const MaxRunNumber = 1 << 50
+
 // Run identifies one attempt to execute a task. Numbers of a task's runs increase.
 type Run struct {
 	Task   Task
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"bamboowood/internal/job"
-	"bamboowood/internal/planner"
 	"bamboowood/internal/store"
 )
 
@@ -87,9 +86,9 @@
 		return "", false, err
 	}
 	if row != nil {
-		var p planner.Progress
-		if err := json.Unmarshal(row.Value, &p); err != nil {
-			return "", false, fmt.Errorf("decode progress of %s: %w", id, err)
+		p, err := decodeProgress(row)
+		if err != nil {
+			return "", false, err
 		}
 		return p.State, true, nil
 	}
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -132,9 +132,15 @@
 	}
 	unknownProgress := c.addProgress(d.progress, stored)
 	for _, row := range jobs {
-		if !ended[row.Key] && !unknownProgress[row.Key] {
-			c.addJob(DecodeJob(row.Key, row.Value))
+		if ended[row.Key] || unknownProgress[row.Key] {
+			continue
+		}
+		j, err := DecodeJob(row.Key, row.Value)
+		if p := c.Progress[row.Key]; err == nil && p != nil && !p.Fits(j) {
+			c.addUnknownProgress(row.Key, fmt.Errorf("decode progress of %s: %w", row.Key, errInvalidProgress))
+			continue
 		}
+		c.addJob(j, err)
 	}
 	for _, id := range slices.Sorted(maps.Keys(ended)) {
 		switch p := c.Progress[id]; {
@@ -172,20 +178,33 @@
 			c.PartiallyDeleted = append(c.PartiallyDeleted, row.Key)
 			continue
 		}
-		var p planner.Progress
-		if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
-			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress)))
-			c.UnknownProgress = append(c.UnknownProgress, row.Key)
+		p, err := decodeProgress(&row)
+		if err != nil {
+			c.addUnknownProgress(row.Key, err)
 			unknown[row.Key] = true
 			continue
 		}
-		c.Progress[row.Key] = &p
+		c.Progress[row.Key] = p
 		c.progressVersions[row.Key] = row.Version
 	}
 	return unknown
 }
 
-var errInvalidProgress = errors.New("unknown state or negative number")
+func (c *Contents) addUnknownProgress(id string, err error) {
+	delete(c.Progress, id)
+	c.Unreadable = append(c.Unreadable, err)
+	c.UnknownProgress = append(c.UnknownProgress, id)
+}
+
+var errInvalidProgress = errors.New("unknown state or number out of range")
+
+func decodeProgress(row *store.Row) (*planner.Progress, error) {
+	var p planner.Progress
+	if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
+		return nil, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress))
+	}
+	return &p, nil
+}
 
 // ReadJob reads the job and the progress of one id. Jobs is empty if the job is not stored.
 func (l *Ledger) ReadJob(ctx context.Context, id string) (*Contents, error) {
--- a/internal/ledger/odd_parts_test.go
+++ b/internal/ledger/odd_parts_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,21 @@
 		test.SliceNotEmpty(t, contents.Unreadable)
 	}
 }
+
+// Guards against a state that callers do not know, or none, in the answer for a job whose progress
+// another writer has replaced.
+func TestStatus_OddProgress(t *testing.T) {
+	l, s := newWritableLedger(t)
+	j := &job.Job{ID: "a000000000000001", Steps: []job.Step{{Tasks: 1}}}
+	must.NoError(t, l.Accept(t.Context(), j))
+	for _, value := range []string{"", "odd", "null", "{}", `{"state":"odd"}`, `{"state":"completed","before":-1}`, strings.Repeat("[", 20_000)} {
+		writeRow(t, s, "progress", "main", j.ID, value)
+		state, _, err := l.Status(t.Context(), j.ID)
+		test.Error(t, err, test.Sprintf("state %q for %.20q", state, value))
+	}
+	writeRow(t, s, "progress", "main", j.ID, `{"state":"completed"}`)
+	state, found, err := l.Status(t.Context(), j.ID)
+	must.NoError(t, err)
+	test.True(t, found)
+	test.Eq(t, job.Completed, state)
+}
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -107,6 +107,10 @@
 	must.NoError(t, held.CompactJobs(t.Context(), []string{compacted}))
 	odd := []string{
 		`odd`, `[]`, `{}`, `null`, `{"state":"odd"}`, `{"state":7}`, `{"state":"running","before":1e300}`, `{"state":"running","before":-1}`,
+		`{"state":"running","before":9223372036854775807}`, `{"state":"running","before":2}`, `{"state":"running","before":1.5}`,
+		`{"state":"running","open":{"1":{}}}`, `{"state":"running","open":{"9223372036854775807":{}}}`, `{"state":"running","open":{"0":7}}`,
+		`{"state":"running","open":{"0":{"failures":{"0.0":[9223372036854775807]}}}}`, `{"state":"running","open":{"0":{"failures":{"0.0":[0]}}}}`,
+		`{"state":"running","open":{"0":{"done":["***"]}}}`, `{"state":"running","open":{"0":{"done":[` + strings.Repeat(`[`, 20_000) + `]}}}`,
 		`{"state":"running","open":{"-1":{}}}`, `{"state":"running","open":{"0":{"failures":{"0.0":[1e300]}}}}`, strings.Repeat(`[`, 20_000),
 	}
 	for i, value := range odd {
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -17,21 +17,36 @@
 	Open map[int]*OccurrenceProgress `json:"open,omitempty"`
 }
 
-// Valid reports whether the state is one of package job and no occurrence has a negative number.
+// Valid reports whether the state is one of package job, all numbers of occurrences are from 0 to
+// job.MaxOccurrences and all numbers of runs from 1 to job.MaxRunNumber.
 func (pr *Progress) Valid() bool {
 	switch pr.State {
 	case job.Queued, job.Running, job.Completed, job.Failed, job.Cancelled:
 	default:
 		return false
 	}
-	for k := range pr.Open {
-		if k < 0 {
+	for k, o := range pr.Open {
+		if k < 0 || k >= job.MaxOccurrences || o != nil && !o.valid() {
 			return false
 		}
 	}
-	return pr.DoneBefore >= 0
+	return pr.DoneBefore >= 0 && pr.DoneBefore <= job.MaxOccurrences
 }
 
+func (o *OccurrenceProgress) valid() bool {
+	for _, numbers := range o.Failures {
+		for _, n := range numbers {
+			if n < 1 || n > job.MaxRunNumber {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Fits reports whether the progress has no occurrence that the job does not have.
+func (pr *Progress) Fits(j *job.Job) bool { return pr.openedOccurrences() <= j.OccurrenceCount() }
+
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
 	// Complete is set if all tasks are done.
