--- a/internal/wire/schedule.go
+++ b/internal/wire/schedule.go
@@ -13,12 +13,16 @@
 	return &wirepb.RunRef{Task: r.Task.String(), Number: r.Number}
 }
 
-// Run decodes a reference to a run.
+// Run decodes a reference to a run. It returns an error if its number is not in 1 to
+// job.MaxRunNumber.
 func Run(r *wirepb.RunRef) (job.Run, error) {
 	task, err := job.ParseTask(r.GetTask())
 	if err != nil {
 		return job.Run{}, fmt.Errorf("decode run: %w", err)
 	}
+	if n := r.GetNumber(); n < 1 || n > job.MaxRunNumber {
+		return job.Run{}, fmt.Errorf("decode run of %s: number %d is not in 1 to %d", task, n, int64(job.MaxRunNumber))
+	}
 	return job.Run{Task: task, Number: r.GetNumber()}, nil
 }
 
