--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -50,7 +50,7 @@
 func countRefusal(reason string) {
 	switch r := runner.Refusal(reason); r {
 	case runner.RefusedFence, runner.RefusedStale, runner.RefusedLate, runner.RefusedCapacity, runner.RefusedTicket,
-		runner.RefusedInvalid, runner.RefusedUnhealthy, runner.RefusedIncarnationEnded:
+		runner.RefusedInvalid, runner.RefusedUnhealthy, runner.RefusedIncarnationEnded, runner.RefusedOther:
 	default:
 		reason = otherReason
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -40,6 +40,8 @@
 	RefusedInvalid Refusal = "invalid"
 	// RefusedUnhealthy: the runner is unhealthy; the request had no effect.
 	RefusedUnhealthy Refusal = "unhealthy"
+	// RefusedOther: the runner gave no reason, or one that is not known.
+	RefusedOther Refusal = "other"
 	// RefusedIncarnationEnded: the incarnation that the call was meant for has ended.
 	RefusedIncarnationEnded Refusal = "gone"
 )
