--- a/internal/store/bulk.go
+++ b/internal/store/bulk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -85,6 +86,8 @@
 	}
 }
 
+var errNoProgress = errors.New("page has no later key to continue from")
+
 // ReadAll returns all rows of the range, in order of their keys, and a version from which Feed
 // continues without a gap. It retries each page that fails, except the first.
 func (b *BulkReader) ReadAll(ctx context.Context, r ReadRequest) ([]Row, int64, error) {
@@ -100,10 +103,17 @@
 			version = page.Version
 		}
 		all = append(all, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return all, version, nil
 		}
-		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+		next := ""
+		for _, row := range page.Rows {
+			next = max(next, row.Key+"\x00")
+		}
+		if next <= r.From {
+			return nil, 0, fmt.Errorf("%w: read of %s from key %.40q", errNoProgress, r.Table, r.From)
+		}
+		r.From = next
 	}
 }
 
--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -84,3 +84,31 @@
 		test.ErrorIs(t, err, store.ErrRefused)
 	})
 }
+
+// oddPageStore answers each read with the same page. It cancels the read after many of them.
+type oddPageStore struct {
+	store.Store
+	page   store.Page
+	reads  int
+	cancel context.CancelFunc
+}
+
+func (s *oddPageStore) Read(ctx context.Context, _ store.ReadRequest, _ int) (store.Page, error) {
+	if s.reads++; s.reads == 100 {
+		s.cancel()
+	}
+	return s.page, ctx.Err()
+}
+
+// Guards against a page after which the read does not advance: it was read again without an end or a
+// pause, with all of its rows kept. A page without rows ended the read as if the rest did not exist.
+func TestBulkReader_PageThatDoesNotAdvance(t *testing.T) {
+	for _, rows := range [][]store.Row{{}, {{Key: ""}}, {{Key: "b"}, {Key: "a"}}, {{Key: "m"}, {Key: "n"}}} {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &oddPageStore{page: store.Page{Rows: rows, More: true, Version: 3}, cancel: cancel}
+		_, _, err := store.NewBulkReader(s, 0).ReadAll(ctx, store.ReadRequest{Table: "t", From: "a"})
+		cancel()
+		test.Error(t, err, test.Sprint(rows))
+		test.Less(t, 10, s.reads, test.Sprint(rows))
+	}
+}
