ledger: do not take a row beside the term for a new term

Each change in the table of the term ended the wait of the entries that watch the leader, also one of another key or part.

TestFollowTerm_OddRowsBeside and TestLeader_OddRowsBesideTermDoNotDelayTakeover (no leader within 15 s) failed before and pass now, with internal/ledger and internal/leader.

--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
 	"bamboowood/internal/wire/wirepb"
 )
@@ -122,3 +124,34 @@
 	a.await(t, hasStarts)
 	test.Less(t, 3*time.Second, time.Since(began))
 }
+
+// Guards against rows beside the term that keep a dead leader from being replaced while another
+// writer goes on writing them.
+func TestLeader_OddRowsBesideTermDoNotDelayTakeover(t *testing.T) {
+	t.Parallel()
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	// The leader of this term never renews it.
+	current, _, err := jobLedger.CurrentTerm(t.Context())
+	must.NoError(t, err)
+	_, err = jobLedger.BeginTerm(t.Context(), current, ledger.NoLeader, "10.0.0.9:1", "dead")
+	must.NoError(t, err)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			_, _ = hooked.Apply(context.Background(), store.Tx{Writes: []store.Write{{
+				Key: store.Key{Table: "term", Part: "main", Key: "odd"}, Value: []byte("odd"),
+			}}})
+		}
+	}()
+	began := time.Now()
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	test.Less(t, takeoverAfter+2*time.Second, time.Since(began))
+}
--- a/internal/ledger/odd_parts_test.go
+++ b/internal/ledger/odd_parts_test.go
@@ -68,3 +68,22 @@
 	test.True(t, found)
 	test.Eq(t, job.Completed, state)
 }
+
+// Guards against a row beside the term that is taken for a new term: each one makes the entries that
+// watch the leader begin their wait again, so that a dead leader is never replaced.
+func TestFollowTerm_OddRowsBeside(t *testing.T) {
+	l, s := newWritableLedger(t)
+	held := beginTerm(t, l, "p1")
+	_, version, err := l.CurrentTerm(t.Context())
+	must.NoError(t, err)
+	writeRow(t, s, "term", "main", "odd", "odd")
+	writeRow(t, s, "term", "", "leader", "odd")
+	changed, next, err := l.FollowTerm(t.Context(), version, 50*time.Millisecond)
+	must.NoError(t, err)
+	test.False(t, changed)
+	test.Greater(t, version, next)
+	must.NoError(t, held.Resign(t.Context()))
+	changed, _, err = l.FollowTerm(t.Context(), next, time.Second)
+	must.NoError(t, err)
+	test.True(t, changed)
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -305,5 +305,6 @@
 	ctx context.Context, after int64, wait time.Duration,
 ) (changed bool, version int64, err error) {
 	rows, version, err := l.store.Feed(ctx, store.FeedRequest{Table: termTable, After: after, Wait: wait})
-	return len(rows) > 0, version, err
+	changed = slices.ContainsFunc(rows, func(row store.Row) bool { return row.Part == mainPart && row.Key == leaderKey })
+	return changed, version, err
 }
