leader: read the whole table when the changes exceed the limit of a feed

The feeds of jobs, cancels, agents and the term bound an answer to 4 MiB. Changes beyond that, which another writer makes with a few large rows while a process is paused or cut off, failed the feed, and it was read again from the same version for ever: nothing that was stored later took effect, and a resigned leader was replaced only after its renewals had stopped. The table is now read again, as after a compacted history.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -17,7 +17,6 @@
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/planner"
 	"bamboowood/internal/site"
-	"bamboowood/internal/store"
 )
 
 // Leases of the leadership. A leader orders no start once startValidity has passed since it
@@ -187,7 +186,7 @@
 func (l *Leader) awaitTermChange(ctx context.Context, term ledger.Term, version int64) error {
 	for {
 		found, next, err := l.opts.Ledger.FollowTerm(ctx, version, followWait)
-		if errors.Is(err, store.ErrCompacted) {
+		if feedInterrupted(err) {
 			var current ledger.Term
 			current, next, err = l.opts.Ledger.CurrentTerm(ctx)
 			found = err == nil && (current.Number != term.Number || current.Resigned)
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -10,13 +10,15 @@
 )
 
 // follow calls next in a loop, each time with the version that the last call returned. It
-// calls reload if the store has compacted the history after that version.
+// calls reload if the feed cannot go on from there: the store has compacted the history, or the changes
+// exceed the size limit.
 func (r *leadership) follow(
 	version int64, next func(after int64) (int64, error), reload func() (int64, error),
 ) error {
 	for r.ctx.Err() == nil {
 		v, err := next(version)
-		if errors.Is(err, store.ErrCompacted) {
+		if feedInterrupted(err) {
+			r.opts.Logger.WithError(err).Warn("store feed cannot go on; reading the whole table")
 			v, err = reload()
 		}
 		if err != nil {
@@ -31,6 +33,11 @@
 	return r.ctx.Err()
 }
 
+// feedInterrupted reports whether a feed cannot go on from the version that it was called with.
+func feedInterrupted(err error) bool {
+	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrTooLarge)
+}
+
 func (r *leadership) followJobs(version int64) error {
 	return r.follow(version, func(after int64) (int64, error) {
 		c, err := r.opts.Ledger.FollowJobs(r.ctx, after, followWait)
@@ -55,7 +62,6 @@
 
 // reload reads all jobs and cancels again. Those that the planner has already have no effect.
 func (r *leadership) reload() (int64, error) {
-	r.opts.Logger.Warn("store feed history compacted; reading all jobs")
 	c, err := r.readJobs()
 	if err != nil {
 		return 0, err
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,3 +157,71 @@
 	awaitLeading(t, l)
 	test.Less(t, takeoverAfter+2*time.Second, time.Since(began))
 }
+
+// Guards against changes that exceed the size limit of a feed: the feed was read again and again from
+// the same version, and nothing that was stored later took effect.
+func TestLeader_FeedTooLarge(t *testing.T) {
+	t.Parallel()
+	hooked, standin := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	var blocked sync.RWMutex
+	hooked.onFeed = func(string) { blocked.RLock(); defer blocked.RUnlock() }
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	a.await(t, hasGrant)
+	blocked.Lock()
+	time.Sleep(followWait + 200*time.Millisecond)
+	large := strings.Repeat("[", 1_000_000)
+	for i := range 5 {
+		standin.Write("jobs", "0", fmt.Sprintf("0%015x", 100+i), []byte(large))
+		standin.Write("cancels", "0", fmt.Sprintf("0%015x", 100+i), []byte(large))
+		standin.Write("agents", "main", fmt.Sprint("odd", i), []byte(large))
+	}
+	blocked.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	other := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", other.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	began := time.Now()
+	other.await(t, hasGrant)
+	starts := func(m *wirepb.LeaderMessage) bool { return len(m.Starts) > 0 }
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return a.count(starts)+other.count(starts) > 0 }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	must.NoError(t, jobLedger.Cancel(t.Context(), testJob(1).ID))
+	stops := func(m *wirepb.LeaderMessage) bool { return len(m.Stops) > 0 }
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return a.count(stops)+other.count(stops) > 0 }),
+		wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	test.Less(t, 4*time.Second, time.Since(began))
+}
+
+// Guards against rows beside the term that exceed the size limit of its feed: the other entries did not
+// learn that the leader has resigned.
+func TestLeader_TermFeedTooLarge(t *testing.T) {
+	t.Parallel()
+	hooked, standin := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	current, _, err := jobLedger.CurrentTerm(t.Context())
+	must.NoError(t, err)
+	held, err := jobLedger.BeginTerm(t.Context(), current, ledger.NoLeader, "10.0.0.9:1", "other")
+	must.NoError(t, err)
+	var blocked sync.RWMutex
+	hooked.onFeed = func(string) { blocked.RLock(); defer blocked.RUnlock() }
+	l, _ := runLeader(t, jobLedger)
+	time.Sleep(500 * time.Millisecond)
+	blocked.Lock()
+	must.NoError(t, held.Renew(t.Context()))
+	time.Sleep(followWait + 200*time.Millisecond)
+	for i := range 5 {
+		standin.Write("term", "main", fmt.Sprint("odd", i), []byte(strings.Repeat("[", 1_000_000)))
+	}
+	must.NoError(t, held.Renew(t.Context()))
+	blocked.Unlock()
+	time.Sleep(300 * time.Millisecond)
+	must.NoError(t, held.Renew(t.Context()))
+	must.NoError(t, held.Resign(t.Context()))
+	resigned := time.Now()
+	awaitLeading(t, l)
+	test.Less(t, time.Second, time.Since(resigned))
+}
