soak: one odd entry of each kind in each table that the programs read

TestSoak_OddEntryInEachTable runs two entries and three agents and lets another writer put odd entries (nested 10,000 and 1,000,000 levels, numbers too large, ports out of range, unreadable, empty) into all tables, in place of the rows of an agent, the renewal, the term and running jobs' progress, into reports, departures, lists of runners, submissions and settings files. After each, rows that are written straight to the store must take effect within 2 s; no process may end, panic or exceed its memory.

--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bamboowood/platform/platformtest"
@@ -35,6 +36,8 @@
 	runner  *platformtest.Runner // the one that serves the runner's address
 	runners []*platformtest.Runner
 	removed bool
+	// oddLists adds odd entries to the lists in the runner's answers.
+	oddLists atomic.Bool
 }
 
 // addVM adds a VM. Its agent is not started.
@@ -88,7 +91,13 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (v *vm) ServeHTTP(w http.ResponseWriter, r *http.Request) { v.current().ServeHTTP(w, r) }
+func (v *vm) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if v.oddLists.Load() {
+		v.serveOddLists(w, r)
+		return
+	}
+	v.current().ServeHTTP(w, r)
+}
 
 // remove ends the VM with its processes for good. All runs of its runners end.
 func (v *vm) remove() {
