job: skip stored jobs without steps or with a payload that is too long

A row of jobs such as {}, or any object without steps, was a job that is completed at once. The payload of a row was not limited: start orders of a few such jobs exceeded the size of a message, which ends the session to the agent, again with each new one. Both are refused at submission; now also when a row is read.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -168,12 +168,6 @@
 // Validate returns an error for the first invalid part of the job. Steps may only follow
 // earlier steps, so a valid graph has no cycle.
 func (j *Job) Validate() error {
-	if len(j.Payload) > MaxPayloadBytes {
-		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
-	}
-	if len(j.Steps) == 0 {
-		return fmt.Errorf("job has no steps")
-	}
 	if err := j.CheckBounds(); err != nil {
 		return err
 	}
@@ -194,9 +188,15 @@
 	return nil
 }
 
-// CheckBounds returns an error if a number of the job is out of bounds, so that the job would take
-// too much memory or distort the sums over all jobs. It is part of Validate.
+// CheckBounds returns an error if the job has no steps, or if a number or the payload is out of bounds,
+// so that the job would take too much memory or distort the sums over all jobs. It is part of Validate.
 func (j *Job) CheckBounds() error {
+	if len(j.Payload) > MaxPayloadBytes {
+		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
+	}
+	if len(j.Steps) == 0 {
+		return fmt.Errorf("job has no steps")
+	}
 	if len(j.Steps) > MaxSteps {
 		return fmt.Errorf("job has %d steps, at most %d are allowed", len(j.Steps), MaxSteps)
 	}
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -58,7 +58,7 @@
 	s := &failingStore{Store: inner, failures: map[string]int{"7": 3}, pages: map[string]int{}}
 	l := ledger.New(s, store.NewBulkReader(s, 0))
 	for n := range uint64(16) {
-		must.NoError(t, l.Accept(t.Context(), &job.Job{ID: fmt.Sprintf("%016x", n<<60)}))
+		must.NoError(t, l.Accept(t.Context(), &job.Job{ID: fmt.Sprintf("%016x", n<<60), Steps: []job.Step{{Tasks: 1}}}))
 	}
 	load := l.NewLoader()
 	var contents *ledger.Contents
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -52,6 +52,11 @@
 // oddJobs are values of job rows that no entry stores.
 var oddJobs = map[string]string{
 	"no JSON":              `odd`,
+	"no steps":             `{}`,
+	"null":                 `null`,
+	"null step":            `{"steps":[null]}`,
+	"payload too long":     `{"payload":"` + strings.Repeat("x", job.MaxPayloadBytes+1) + `","steps":[{"tasks":1}]}`,
+	"fraction of a task":   `{"steps":[{"tasks":1.5}]}`,
 	"null in place of one": `"x"`,
 	"number too large":     `{"steps":[{"tasks":9223372036854775808}]}`,
 	"too many tasks":       `{"steps":[{"tasks":20001}]}`,
