--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -174,7 +174,9 @@
 	standin.SetTxTime(60 * time.Millisecond)
 	group, ctx := errgroup.WithContext(t.Context())
 	for n := range uint64(2 * 16) {
-		group.Go(func() error { return l.Accept(ctx, &job.Job{ID: fmt.Sprintf("%016x", n<<60|n), Steps: []job.Step{{Tasks: 1}}}) })
+		group.Go(func() error {
+			return l.Accept(ctx, &job.Job{ID: fmt.Sprintf("%016x", n<<60|n), Steps: []job.Step{{Tasks: 1}}})
+		})
 	}
 	group.Go(func() error {
 		for range 4 {
