--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
 	"bamboowood/internal/wire/wirepb"
@@ -225,3 +226,26 @@
 	awaitLeading(t, l)
 	test.Less(t, time.Second, time.Since(resigned))
 }
+
+// Guards against stored jobs whose payloads exceed the size of a message: the session to the agent ended
+// with each order to start them.
+func TestLeader_LargePayloads(t *testing.T) {
+	t.Parallel()
+	hooked, standin := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	for i := range 6 {
+		value, err := ledger.EncodeJob(&job.Job{Queue: testJob(1).Queue, Steps: testJob(1).Steps, Payload: strings.Repeat("x", 900_000), AcceptedAt: time.Now()})
+		must.NoError(t, err)
+		standin.Write("jobs", "0", testJob(100+i).ID, value)
+	}
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	a.await(t, hasStarts)
+	time.Sleep(2 * time.Second)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	test.Len(t, 1, a.sessions)
+}
