follower, leader: refuse terms out of range

A session that named a term above those that can be read made the agent refuse all other leaders, for ever; and an agent that reported such a term to the leader made the next term follow it, which no entry can read. Both now end only the session with that peer.

TestFollower_TermOutOfRange and TestLeader_LaterTermOutOfRange failed before and pass now, with internal/follower, internal/ledger and internal/leader.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -113,6 +113,9 @@
 	if hello.Agent != "" && hello.Agent != f.opts.Name {
 		return fmt.Errorf("%w: %q", errOtherAgent, hello.Agent)
 	}
+	if hello.Term < 1 || hello.Term > ledger.MaxTermNumber {
+		return fmt.Errorf("%w: %d", errTermOutOfRange, hello.Term)
+	}
 	if laterTerm, leader := f.setCurrent(session, &hello); laterTerm != 0 {
 		f.opts.Logger.WithFields(log.Fields{"term": hello.Term, "later_term": laterTerm}).Warn("leader with outdated term refused")
 		if err := stream.Send(&wirepb.AgentMessage{LaterTerm: laterTerm, LaterLeader: leader}); err != nil {
@@ -179,6 +182,8 @@
 	errReplaced   = errors.New("replaced by another session")
 	errOtherAgent = errors.New("leader expects another agent at this address")
 	errNoPayload  = errors.New("start order refers to a payload not received in this session")
+
+	errTermOutOfRange = errors.New("leader's term is out of range")
 )
 
 // apply applies a message if its session is still the current one. It holds the lock, so that
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
 	"bamboowood/internal/runner"
 	"bamboowood/internal/supervisor"
 	"bamboowood/internal/wire"
@@ -270,3 +272,23 @@
 	must.True(t, ok)
 	test.Len(t, 1, m.Refusals)
 }
+
+// Guards against a term out of range that makes the agent refuse all leaders, for ever.
+func TestFollower_TermOutOfRange(t *testing.T) {
+	address, _ := startAgent(t)
+	for _, term := range []int64{ledger.MaxTermNumber + 1, math.MaxInt64, 0, -1, math.MinInt64} {
+		session, err := wire.Dial(t.Context(), address, nil)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = session.Close() })
+		stream, err := session.Open(t.Context())
+		must.NoError(t, err)
+		must.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
+		var m wirepb.AgentMessage
+		// Send fails if the agent ends the session before Send returns.
+		if err := stream.Send(&wirepb.LeaderMessage{Term: term, Agent: "a"}); err == nil {
+			test.Error(t, stream.Recv(&m), test.Sprint(term))
+		}
+	}
+	waitForSnapshot(t, openLeaderSession(t, address, 1))
+	waitForSnapshot(t, openLeaderSession(t, address, ledger.MaxTermNumber))
+}
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -27,6 +27,8 @@
 	// noRunner means that it has no runner, noSnapshot that it sends only heartbeats.
 	noRunner, noSnapshot bool
 	sessions             []wire.Session
+	// laterTerm, unless 0, is the term that it claims to have seen.
+	laterTerm int64
 }
 
 // closeSessions closes all sessions, so that the leader has to reconnect.
@@ -49,7 +51,7 @@
 func (a *fakeAgent) firstMessage() *wirepb.AgentMessage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, Ends: a.ends, NoRunner: a.noRunner}
+	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, Ends: a.ends, NoRunner: a.noRunner, LaterTerm: a.laterTerm, LaterLeader: "10.0.0.9:1"}
 	if !a.noRunner {
 		m.Runner = wire.RunnerInfo(&job.Runner{
 			ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -70,7 +71,10 @@
 	outPending chan struct{}
 }
 
-var errNoAddress = errors.New("agent has no usable address")
+var (
+	errNoAddress      = errors.New("agent has no usable address")
+	errTermOutOfRange = errors.New("agent's term is out of range")
+)
 
 // addConn opens a connection to an agent or updates it with a new registration. It is called
 // with the leadership's lock held.
@@ -153,6 +157,9 @@
 		if err := stream.Recv(&m); err != nil {
 			return connected, err
 		}
+		if m.LaterTerm > ledger.MaxTermNumber {
+			return false, fmt.Errorf("%w: %d", errTermOutOfRange, m.LaterTerm)
+		}
 		if m.LaterTerm > r.term.Term.Number {
 			r.leader.observeLater(ledger.Term{Number: m.LaterTerm, Leader: m.LaterLeader})
 			return connected, errLaterTerm
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -249,3 +250,24 @@
 	defer a.mu.Unlock()
 	test.Len(t, 1, a.sessions)
 }
+
+// Guards against a later term out of range in an agent's message: the next term followed it, and no
+// entry can read a term of that number.
+func TestLeader_LaterTermOutOfRange(t *testing.T) {
+	t.Parallel()
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	good, odd := newFakeAgent(t), newFakeAgent(t)
+	odd.set(func() { odd.laterTerm = math.MaxInt64 - 1 })
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", good.address))
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "odd", odd.address))
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	good.await(t, hasStarts)
+	time.Sleep(2 * takeoverAfter)
+	term, _, err := jobLedger.CurrentTerm(t.Context())
+	must.NoError(t, err)
+	test.Eq(t, 1, term.Number)
+	test.True(t, l.Leading())
+}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -39,8 +39,8 @@
 	version int64
 }
 
-// maxTermNumber bounds the numbers of terms, from which run numbers are derived.
-const maxTermNumber = 1 << 32
+// MaxTermNumber bounds the numbers of terms, which begin at 1 and from which run numbers are derived.
+const MaxTermNumber = 1 << 32
 
 // CurrentTerm reads the current term, and the version from which FollowTerm continues.
 func (l *Ledger) CurrentTerm(ctx context.Context) (Term, int64, error) {
@@ -67,7 +67,7 @@
 
 func decodeTerm(row store.Row) Term {
 	var t Term
-	if err := json.Unmarshal(row.Value, &t); err != nil || t.Number < 1 || t.Number > maxTermNumber || t.Leader == "" {
+	if err := json.Unmarshal(row.Value, &t); err != nil || t.Number < 1 || t.Number > MaxTermNumber || t.Leader == "" {
 		return Term{Unreadable: true, version: row.Version}
 	}
 	t.version = row.Version
