supervisor: do not let one report under the runner's own name outlast the runner's own

A report of another writer that names the own runner's id and start time was applied like one of the runner. Service and zone do not change while a runner lives: a report with others is now refused.

--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -39,8 +39,8 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for {
-		if s.applyReportOfCurrent(&r) {
-			return nil
+		if found, err := s.applyReportOfCurrent(&r, sender); found {
+			return err
 		}
 		err := s.confirmAndAdopt(ctx, &r, sender)
 		if err == nil || errors.Is(err, runner.ErrOtherIncarnation) {
@@ -55,24 +55,36 @@
 	}
 }
 
-// applyReportOfCurrent applies a report of the current incarnation, unless a later one has been
-// applied. It returns false if the report is of another incarnation.
-func (s *Supervisor) applyReportOfCurrent(r *job.Runner) bool {
+// applyReportOfCurrent applies a report of the current incarnation, unless it contradicts the one that
+// was applied last. It returns false if the report is of another incarnation.
+func (s *Supervisor) applyReportOfCurrent(r *job.Runner, sender string) (found bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cur := s.runner
 	if cur == nil || !cur.SameIncarnation(r) {
-		return false
-	}
-	if r.Sequence <= cur.Sequence {
-		countReport(reportOutdated)
-		return true
+		return false, nil
+	}
+	outdated, moved := r.Sequence <= cur.Sequence, r.Service != cur.Service || r.Zone != cur.Zone
+	if outdated || moved {
+		if !s.contradiction.outvotes(s.opts.Now(), r) {
+			if outdated {
+				countReport(reportOutdated)
+				return true, nil
+			}
+			s.reportIgnored(r, sender, errMoved.Error())
+			return true, errMoved
+		}
+		s.opts.Logger.WithFields(log.Fields{
+			"runner": r.ID, "sequence": r.Sequence, "service": r.Service, "zone": r.Zone,
+			"ignored_sequence": cur.Sequence, "ignored_service": cur.Service, "ignored_zone": cur.Zone,
+		}).Warn("runner's reports contradict an earlier one, which is ignored now")
 	}
+	s.contradiction = contradiction{}
 	countReport(reportCurrent)
 	if s.unreachable {
 		s.signal(s.renewNow)
 	}
-	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity
+	changed := cur.Draining != r.Draining || r.Draining || cur.Capacity != r.Capacity || moved
 	s.runner = r
 	if !r.Draining {
 		// The departure was that of an earlier incarnation.
@@ -81,7 +93,7 @@
 	if changed {
 		s.runnerChanged()
 	}
-	return true
+	return true, nil
 }
 
 // confirmAndAdopt asks the runner's address for the incarnation that r names and adopts it if that
@@ -183,6 +195,7 @@
 		s.giveUpRuns()
 	}
 	s.adoptions++
+	s.contradiction = contradiction{}
 	s.runner, s.left, s.unreachable = r, false, false
 	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
 	s.acknowledgedEnd, s.answeredAt = 0, 0
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -122,6 +122,7 @@
 	endedIncarnations map[incarnation]bool
 	// ignoredReport is the incarnation of the last report that was ignored.
 	ignoredReport incarnation
+	contradiction contradiction
 	// adoptions counts the calls of setIncarnation.
 	adoptions int
 	token     int64
