supervisor: stop a run before giving it up beside a malformed entry

The entry of a runner's list that cannot be read may be that of a live run: the run was given up as not listed after three reports, within 0.3 s, and its task started again elsewhere while it went on. Such a run is now stopped first, and given up 2 s after the confirmed stop if its end is not listed by then.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -106,7 +106,7 @@
 		return s.renewFailed(runner.ErrOtherIncarnation)
 	}
 	s.acknowledgedEnd, s.answeredAt = max(s.acknowledgedEnd, request.AcknowledgedEnd), s.opts.Now()
-	s.applyReport(sentAt, report)
+	s.applyReport(ctx, sentAt, report)
 	switch {
 	case s.needsReconcile():
 		return reconcileInterval
@@ -234,7 +234,7 @@
 	s.runnerLeaseUntil = 0
 }
 
-func (s *Supervisor) applyReport(sentAt time.Duration, report runner.Report) {
+func (s *Supervisor) applyReport(ctx context.Context, sentAt time.Duration, report runner.Report) {
 	if s.failures > 0 {
 		s.opts.Logger.WithField("runner", s.runner.ID).Info("lease renewal succeeds again")
 	}
@@ -257,7 +257,7 @@
 	}
 	for run, r := range s.runs {
 		if !listed[run] {
-			s.runNotListed(sentAt, run, r)
+			s.runNotListed(ctx, sentAt, run, r)
 		}
 	}
 	if s.restarted {
@@ -317,14 +317,26 @@
 // the run is dropped. A single report may be older than the confirmation of the start.
 const maxReportsNotListed = 3
 
-// runNotListed handles a run that a report does not list as active or ended.
-func (s *Supervisor) runNotListed(sentAt time.Duration, run job.Run, r *taskRun) {
+// unlistedStopTime is how long the end of a run that was stopped because it is not listed may take to be
+// listed.
+const unlistedStopTime = 2 * time.Second
+
+// runNotListed handles a run that a report does not list as active or ended. If an entry of the report
+// cannot be read, it may be that of the run, which is stopped before it is dropped.
+func (s *Supervisor) runNotListed(ctx context.Context, sentAt time.Duration, run job.Run, r *taskRun) {
 	switch {
 	case r.detachedUntil != 0:
 	case r.reconciling && sentAt > r.reconcilingSince:
 		s.dropRun(run, r.notListedReason, causeNotListed)
 	case r.phase == running && !r.reconciling:
-		if r.reportsNotListed++; r.reportsNotListed >= maxReportsNotListed {
+		r.reportsNotListed++
+		switch {
+		case r.reportsNotListed < maxReportsNotListed:
+		case s.listMalformed:
+			r.phase, r.unlisted = stopping, true
+			s.opts.Logger.WithFields(log.Fields{"task": run.Task.String(), "run": run.Number}).Warn("run not listed beside a malformed entry; stopping it")
+			s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+		default:
 			s.dropRun(run, runner.RefusedIncarnationEnded, causeNotListed)
 		}
 	}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -212,6 +212,9 @@
 		s.raiseToken()
 	case err == nil:
 		s.reconcile(r, runner.RefusedStale)
+		if r.unlisted {
+			r.reconcilingSince += unlistedStopTime
+		}
 		return true
 	default:
 		s.opts.Logger.WithError(err).WithFields(log.Fields{
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -104,6 +104,8 @@
 	// detachedUntil is set for a run of an incarnation that no longer answers: only the end of its
 	// lease, at this time at the latest, proves that it is gone. 0 for all other runs.
 	detachedUntil time.Duration
+	// unlisted is set if the run is stopped because reports with malformed entries do not list it.
+	unlisted bool
 	// reportsNotListed counts the consecutive reports that do not list this confirmed run.
 	reportsNotListed int
 }
