planner: bound the times of a stored job before differences overflow

A row of jobs without the time of acceptance, or due in a far past, has an age of 292 years, the longest duration; a minute later the age and the time since it was due had overflowed to negative ones, by which the planner ranks jobs. Both are now limited to 100 years.

TestPlanner_TimesFarAway failed before (4 of 7 jobs) and passes now, with internal/planner.

--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -6,6 +6,10 @@
 	"bamboowood/internal/job"
 )
 
+// maxAge bounds the times since a job was accepted and an occurrence was due, so that differences
+// between times do not overflow.
+const maxAge = 100 * 365 * 24 * time.Hour
+
 // openReported opens the occurrence of a task of which an agent has reported a run or an end,
 // and all before it: an earlier leader has opened them. The bound of open tasks does not apply.
 // That leader kept it, but may have received ends of earlier occurrences that it did not store.
@@ -47,7 +51,7 @@
 	occ := &occurrence{number: k, due: js.acceptedAt, steps: make([]stepState, len(js.job.Steps)), stepsLeft: len(js.job.Steps)}
 	if js.job.Occurrences > 0 {
 		// An earlier leader may have opened it by a wall clock that is ahead of this one.
-		occ.due = now.Mono + min(js.job.Due(k).Sub(now.Wall), p.opts.EarlyStart/2)
+		occ.due = now.Mono + min(max(js.job.Due(k).Sub(now.Wall), -maxAge), p.opts.EarlyStart/2)
 	}
 	js.open[k] = occ
 	for i := range occ.steps {
--- a/internal/planner/odd_test.go
+++ b/internal/planner/odd_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -72,3 +73,31 @@
 	t.Logf("pressure %.2f after a report of the whole CPU, %.2f after an impossible one", whole, impossible)
 	test.Eq(t, whole, impossible)
 }
+
+// Guards against times of a stored job so far away that differences between them overflow: its age was
+// negative, and its deadline came before those of all others or after them by chance.
+func TestPlanner_TimesFarAway(t *testing.T) {
+	for name, change := range map[string]func(*job.Job){
+		"no time of acceptance":      func(j *job.Job) { j.AcceptedAt = time.Time{} },
+		"accepted in the far past":   func(j *job.Job) { j.AcceptedAt = time.Unix(-1<<55, 0) },
+		"accepted in the future":     func(j *job.Job) { j.AcceptedAt = time.Unix(1<<55, 0) },
+		"due in the far past":        func(j *job.Job) { j.Occurrences, j.Start = 1, time.Unix(-1<<55, 0) },
+		"negative interval":          func(j *job.Job) { j.Occurrences, j.Start, j.Interval = 2, time.Unix(0, 0), math.MinInt64 },
+		"interval that overflows":    func(j *job.Job) { j.Occurrences, j.Start, j.Interval = 5, time.Unix(0, 0), math.MaxInt64/2 },
+		"due at the end of all time": func(j *job.Job) { j.Occurrences, j.Start = 1, time.Unix(1<<62, 0) },
+	} {
+		f := newFixture(t, 1)
+		f.agent("a")
+		j := testJob(1, job.Step{Tasks: 1, CPU: 1, Estimate: time.Second})
+		j.AcceptedAt = f.instant().Wall
+		change(j)
+		f.AddJob(f.instant(), j, nil, false)
+		js := f.jobs[j.ID]
+		f.now += time.Minute
+		f.plan()
+		test.Between(t, 0, f.now-js.acceptedAt, maxAge+time.Hour, test.Sprint(name))
+		for _, occ := range js.open {
+			test.Between(t, -maxAge, f.now-occ.due, maxAge+time.Hour, test.Sprint(name))
+		}
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -227,7 +227,7 @@
 	if p.HasJob(j.ID) {
 		return
 	}
-	age := max(now.Wall.Sub(j.AcceptedAt), 0)
+	age := min(max(now.Wall.Sub(j.AcceptedAt), 0), maxAge)
 	js := &jobState{
 		job: j, state: job.Queued, storedState: job.Queued, recovered: recovered,
 		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.bias[j.Queue.Name]), open: map[int]*occurrence{},
