--- a/internal/wire/yamux_test.go
+++ b/internal/wire/yamux_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -150,3 +151,29 @@
 		}
 	})
 }
+
+// Guards against a message nested so deeply that decoding it overflows the stack, which ends the process.
+func TestYamux_DeeplyNestedMessage(t *testing.T) {
+	// Start tags of groups in an unknown field, each within the one before.
+	group := byte(15<<3 | 3)
+	for _, depth := range []int{10_000, 1_000_000, wire.MaxMessageBytes - 100} {
+		near, far := net.Pipe()
+		sender, err := wire.NewClientSession(near)
+		must.NoError(t, err)
+		receiver, err := wire.NewServerSession(far)
+		must.NoError(t, err)
+		t.Cleanup(func() { _, _ = sender.Close(), receiver.Close() })
+		out, err := sender.Open(t.Context())
+		must.NoError(t, err)
+		var nested wirepb.AgentMessage
+		nested.ProtoReflect().SetUnknown(bytes.Repeat([]byte{group}, depth))
+		sent := make(chan error, 1)
+		go func() { sent <- out.Send(&nested) }()
+		in, err := receiver.Accept(t.Context())
+		must.NoError(t, err)
+		must.NoError(t, in.SetDeadline(time.Now().Add(10*time.Second)))
+		var m wirepb.AgentMessage
+		must.Error(t, in.Recv(&m))
+		must.NoError(t, <-sent)
+	}
+}
