--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -144,30 +144,34 @@
 		Version: min(d.jobs[0].version, d.cancels[0].version),
 	}
 	stored, ended := map[string]bool{}, map[string]bool{}
+	var jobs []store.Row
 	for i := range jobParts {
 		c.Version = min(c.Version, d.jobs[i].version, d.cancels[i].version)
-		for _, row := range d.jobs[i].rows {
-			stored[row.Key] = true
-			if bytes.Equal(row.Value, compactedJob) {
-				ended[row.Key] = true
-			}
-		}
-		for _, row := range d.cancels[i].rows {
+		jobs = append(jobs, c.ownRows(d.jobs[i].rows)...)
+		for _, row := range c.ownRows(d.cancels[i].rows) {
 			c.Cancels = append(c.Cancels, row.Key)
 		}
 	}
+	for _, row := range jobs {
+		stored[row.Key] = true
+		if bytes.Equal(row.Value, compactedJob) {
+			ended[row.Key] = true
+		}
+	}
 	unknownProgress := c.addProgress(d.progress, stored)
 	c.addHeldEnds(d.heldEnds, stored, ended)
-	for i := range jobParts {
-		for _, row := range d.jobs[i].rows {
-			if ended[row.Key] || unknownProgress[row.Key] {
-				continue
-			}
-			j, err := DecodeJob(row.Key, row.Value)
-			c.addJob(j, err)
-			if err != nil && c.Progress[row.Key] != nil {
-				c.UnknownProgress = append(c.UnknownProgress, row.Key)
-			}
+	for _, row := range jobs {
+		if ended[row.Key] || unknownProgress[row.Key] {
+			continue
+		}
+		j, err := DecodeJob(row.Key, row.Value)
+		if p := c.Progress[row.Key]; err == nil && p != nil && !p.Fits(j) {
+			c.addUnknownProgress(row.Key, fmt.Errorf("decode progress of %s: %w", row.Key, errInvalidProgress))
+			continue
+		}
+		c.addJob(j, err)
+		if err != nil && c.Progress[row.Key] != nil {
+			c.UnknownProgress = append(c.UnknownProgress, row.Key)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(ended)) {
@@ -183,6 +187,20 @@
 	return c
 }
 
+// ownRows returns the rows of jobTable or cancelTable whose key is a job's id in the part of that id.
+// Only another writer leaves others.
+func (c *Contents) ownRows(rows []store.Row) []store.Row {
+	own := make([]store.Row, 0, len(rows))
+	for _, row := range rows {
+		if !job.ValidID(row.Key) || row.Part != jobPart(row.Key) {
+			c.Unreadable = append(c.Unreadable, fmt.Errorf("row of %s with key %.40q in part %.40q", row.Table, row.Key, row.Part))
+			continue
+		}
+		own = append(own, row)
+	}
+	return own
+}
+
 // addProgress decodes the rows of progress and returns the ids of jobs whose progress cannot be
 // decoded. Such a job must not run: tasks that are done would run again.
 func (c *Contents) addProgress(rows []store.Row, stored map[string]bool) (unknown map[string]bool) {
@@ -192,20 +210,33 @@
 			c.PartiallyDeleted = append(c.PartiallyDeleted, row.Key)
 			continue
 		}
-		var p planner.Progress
-		if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
-			c.Unreadable = append(c.Unreadable, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress)))
-			c.UnknownProgress = append(c.UnknownProgress, row.Key)
+		p, err := decodeProgress(&row)
+		if err != nil {
+			c.addUnknownProgress(row.Key, err)
 			unknown[row.Key] = true
 			continue
 		}
-		c.Progress[row.Key] = &p
+		c.Progress[row.Key] = p
 		c.progressVersions[row.Key] = row.Version
 	}
 	return unknown
 }
 
-var errInvalidProgress = errors.New("unknown state or negative number")
+func (c *Contents) addUnknownProgress(id string, err error) {
+	delete(c.Progress, id)
+	c.Unreadable = append(c.Unreadable, err)
+	c.UnknownProgress = append(c.UnknownProgress, id)
+}
+
+var errInvalidProgress = errors.New("unknown state or number out of range")
+
+func decodeProgress(row *store.Row) (*planner.Progress, error) {
+	var p planner.Progress
+	if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
+		return nil, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress))
+	}
+	return &p, nil
+}
 
 // ReadJob reads the job and the progress of one id. Jobs is empty if the job is not stored.
 func (l *Ledger) ReadJob(ctx context.Context, id string) (*Contents, error) {
