--- a/test/soak/tables_test.go
+++ b/test/soak/tables_test.go
@@ -240,6 +240,9 @@
 		{"progress", "main", "a0000000000000"},
 		{"progress", "main", "odd"},
 		{"progress", "odd", "a0000000000000"},
+		{"heldends", "main", "a000000000000001.0.0.0/"},
+		{"heldends", "main", "odd"},
+		{"boots", "1", "odd"},
 		{"agents", "main", "odd"},
 		{"agents", "odd", "odd"},
 		{"agents", "main", address(0, 100)},
@@ -304,6 +307,7 @@
 	}
 	check("odd settings files")
 
+	cl.store.Write("boots", "2", address(0, 102), []byte(oddValues[0]))
 	cl.startVM(2)
 	added := "i-" + cl.vms[2].ip
 	o.await(2*followTime, "start on a VM that is added after the odd rows", func() bool {
