--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -52,6 +52,8 @@
 	// process's clock when the heartbeat was received.
 	agentClock, heartbeatAt time.Duration
 	receivedEnds            endSequence
+	// unstored are the received ends of that incarnation of which the agent has not been notified.
+	unstored []job.End
 	// storedEnds are the ends of which the agent has been notified as stored in this session.
 	storedEnds endSequence
 	// version is the version of the agent's latest registration, removedVersion of the one
@@ -221,13 +223,15 @@
 	}
 }
 
-// applyEnds passes the ends of a message to the planner, except those received before.
+// applyEnds passes the ends of a message to the planner, except those received before. Without a runner the
+// message does not tell which incarnation numbered its ends, so that they may all be new; the message with
+// which the runner answers again has them as well.
 func (c *agentConn) applyEnds(now time.Duration, m *wirepb.AgentMessage) {
 	if m.Runner != nil && (m.Runner.Id != c.receivedEnds.runner || m.Runner.Born != c.receivedEnds.startTime) {
-		c.receivedEnds = endSequence{runner: m.Runner.Id, startTime: m.Runner.Born}
+		c.receivedEnds, c.unstored = endSequence{runner: m.Runner.Id, startTime: m.Runner.Born}, nil
 	}
 	for _, e := range m.Ends {
-		if e.Sequence <= c.receivedEnds.sequence {
+		if !m.NoRunner && e.Sequence <= c.receivedEnds.sequence {
 			continue
 		}
 		end, err := wire.End(e)
@@ -235,9 +239,12 @@
 			c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Error("malformed run end skipped")
 			continue
 		}
-		c.receivedEnds.sequence = e.Sequence
+		if !m.NoRunner {
+			c.receivedEnds.sequence = e.Sequence
+			c.recordUnstored(end)
+		}
 		countEnd(end.Reason)
-		c.leadership.planner.RunEnded(now, c.id, end)
+		c.leadership.applyEnd(now, c.id, end)
 	}
 }
 
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -40,6 +40,8 @@
 	// confirmedAt is when the run was first reported as started; 0 before.
 	confirmedAt time.Duration
 	stalled     bool
+	// stopReason is set in phase stopping.
+	stopReason StopReason
 	// planned is set until the plan that created the run has returned its start.
 	planned bool
 	// detachedUntil is set for a run that its agent's process may not know: it may be alive until
@@ -174,7 +176,7 @@
 	if r := a.runs[act.Run]; r != nil {
 		r.detachedUntil = 0
 		if r.phase == stopping {
-			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id})
+			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id, Reason: r.stopReason, Repeated: true})
 		}
 		p.applyActivity(now, r, act)
 		return
@@ -403,15 +405,18 @@
 	}
 }
 
-// ActivityReported applies an agent's report on its active runs.
+// ActivityReported applies an agent's report on some of its active runs. It may be the first that lists
+// a run which started before its process did.
 func (p *Planner) ActivityReported(now time.Duration, id string, active []job.Activity) {
 	a := p.agents[id]
 	if a == nil || a.state != live {
 		return
 	}
 	for _, act := range active {
-		if r := a.runs[act.Run]; r != nil {
+		if r := a.runs[act.Run]; r != nil && r.detachedUntil == 0 {
 			p.applyActivity(now, r, act)
+		} else {
+			p.applyReportedRun(now, a, act)
 		}
 	}
 	p.observeInterference(now, a, active)
--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -330,3 +330,66 @@
 		test.Zero(t, snapshot.UnlistedFor)
 	})
 }
+
+// Guards against an update that lists a run as active beside its refusal: the leader took it for alive, and
+// its task never ran again.
+func TestSupervisor_DroppedRunIsNotListed(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.fake.setRunner("i-1", 100)
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 1}))
+		time.Sleep(50 * time.Millisecond)
+		h.TakeUpdate()
+		h.grantLease()
+		run := h.startRun(1)
+		// No update is taken meanwhile, as while the connection to the leader is slow.
+		time.Sleep(50 * time.Millisecond)
+		h.fake.mu.Lock()
+		h.fake.active = nil
+		h.fake.mu.Unlock()
+		time.Sleep((maxReportsNotListed + 1) * renewWait)
+		u, _ := h.TakeUpdate()
+		must.Len(t, 1, u.Refusals)
+		test.Eq(t, run, u.Refusals[0].Run)
+		test.Len(t, 0, u.Active)
+	})
+}
+
+// Guards against a snapshot without the runs of a runner that has been adopted in place of another one and has
+// not listed its runs yet: an earlier process of the agent may have started some there.
+func TestSupervisor_SnapshotWaitsForListOfNextRunner(t *testing.T) {
+	old := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8"}, Number: 7}
+	runTest(t, nil, func(h *harness) {
+		h.fake.setRunner("i-2", 200)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 200, Sequence: 1}))
+		synctest.Wait()
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-1", 100, []job.Activity{{Run: old}}
+		// Only calls that confirm a report are answered.
+		h.fake.renewErr, h.fake.answeredToken = errNoAnswer, 1
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 900}))
+		_, ok := h.Snapshot()
+		test.False(t, ok)
+		h.fake.setRenewErr(nil)
+		time.Sleep(time.Second)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		must.Len(t, 1, snapshot.Active)
+		test.Eq(t, old, snapshot.Active[0].Run)
+	})
+}
+
+// Guards against taking a young runner for one that has served its address for longer than a lease, since the
+// time of day was behind by maxSkew at its start and is ahead by as much now.
+func TestSupervisor_ClockStepSinceStartOfRunner(t *testing.T) {
+	const maxSkew = 5 * time.Second
+	runTest(t, nil, func(h *harness) {
+		born := time.Now().Add(-time.Second - 2*maxSkew).UnixMilli()
+		h.fake.setRunner("i-2", born)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: born, Sequence: 1}))
+		synctest.Wait()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Positive(t, snapshot.UnlistedFor)
+	})
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -177,6 +177,9 @@
 	renewNow    chan struct{}
 	callSlots   chan struct{}
 	calls       sync.WaitGroup
+	// throttling is the context of throttle calls. It ends with the context of Run.
+	throttling    context.Context
+	endThrottling context.CancelFunc
 }
 
 // restartGraceFactor times MaxLease is the time after a restart of the runner by which the
@@ -196,9 +199,10 @@
 func New(opts Options) *Supervisor {
 	now := opts.Now()
 	earlierLeaseUntil := now + opts.MaxLease + leaseMargin
+	throttling, endThrottling := context.WithCancel(context.Background())
 	return &Supervisor{
-		bootAwaitedUntil: now + bootRegistrationWait,
-		runsKnownAt:      earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		throttling: throttling, endThrottling: endThrottling, bootAwaitedUntil: now + bootRegistrationWait,
+		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		speedController: newSpeedController(),
@@ -260,8 +264,9 @@
 	return u, true
 }
 
-// maxClockStep is by how much the time of day may have been stepped since the runner's start.
-const maxClockStep = 5 * time.Second
+// maxClockStep is by how much the time of day may have been stepped since the runner's start: it may be
+// off by 5 s either way.
+const maxClockStep = 10 * time.Second
 
 // unlistedFor returns for how long runs may be alive that neither this process nor the current runner
 // knows. There are none if no earlier process gave a lease since the VM booted, or if the current runner
@@ -394,6 +399,8 @@
 // Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err().
 func (s *Supervisor) Run(ctx context.Context) error {
 	defer s.calls.Wait()
+	stop := context.AfterFunc(ctx, s.endThrottling)
+	defer stop()
 	s.renewLoop(ctx)
 	return ctx.Err()
 }
