daemon: leave more of the grace period after the last answers

Cause: connections that stay open to the deadline of the shutdown left 1.2 s for the end of the process, of which the race detector takes 1 s in the tests.

Change: requests in flight are answered 1.8 s before the end of the grace period instead of 1.5 s, connections closed at 1.5 s instead of 1.2 s.

--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -21,9 +21,9 @@
 const (
 	// answerMargin is when the contexts of requests in flight end, so that these are answered before
 	// closeMargin.
-	answerMargin = 1500 * time.Millisecond
+	answerMargin = 1800 * time.Millisecond
 	// closeMargin is when connections that still carry a request are closed.
-	closeMargin = 1200 * time.Millisecond
+	closeMargin = 1500 * time.Millisecond
 	// exitMargin is when the process exits although some of its actors have not returned.
 	exitMargin = 500 * time.Millisecond
 )
