daemon: start while the settings file is being written

Settings that cannot be decoded are read again for a second at the start of a process; a file that does not exist is an error at once, as before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -82,7 +84,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
-	node, err := platform.LoadNode(path)
+	node, err := loadNode(path)
 	if err != nil {
 		return nil, err
 	}
@@ -95,6 +97,25 @@
 	return n, nil
 }
 
+// Limits of reading settings that cannot be decoded.
+const (
+	settingsWait       = time.Second
+	settingsRetryPause = 20 * time.Millisecond
+)
+
+// loadNode reads the settings file. Settings that cannot be decoded are read again for settingsWait: the file
+// may be being written.
+func loadNode(path string) (platform.Node, error) {
+	began := time.Now()
+	for {
+		node, err := platform.LoadNode(path)
+		if err == nil || errors.Is(err, fs.ErrNotExist) || time.Since(began) > settingsWait {
+			return node, err
+		}
+		time.Sleep(settingsRetryPause)
+	}
+}
+
 func newPlatformNode(role, path string, node platform.Node, logs *logline.Handler) *PlatformNode {
 	logger := &log.Logger{Handler: logs, Level: log.InfoLevel}
 	logger.WithFields(log.Fields{
