--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -97,13 +99,16 @@
 	return n, nil
 }
 
-// loadNode reads the settings file. It reads an unusable one again for settingsWait, since the
-// platform may be writing it.
-func loadNode(path string) (node platform.Node, err error) {
-	for deadline := time.Now().Add(settingsWait); ; time.Sleep(settingsRetryPause) {
-		if node, err = platform.LoadNode(path); err == nil || time.Now().After(deadline) {
+// loadNode reads the settings file. Settings that cannot be decoded are read again for settingsWait: the file
+// may be being written.
+func loadNode(path string) (platform.Node, error) {
+	began := time.Now()
+	for {
+		node, err := platform.LoadNode(path)
+		if err == nil || errors.Is(err, fs.ErrNotExist) || time.Since(began) > settingsWait {
 			return node, err
 		}
+		time.Sleep(settingsRetryPause)
 	}
 }
 
