--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -163,7 +163,21 @@
 // Guards against changes that exceed the size limit of a feed: the feed was read again and again from
 // the same version, and nothing that was stored later took effect.
 func TestLeader_FeedTooLarge(t *testing.T) {
-	t.Parallel()
+	for table, key := range map[string]store.Key{
+		"jobs":    {Table: "jobs", Part: "0", Key: "000000000000010"},
+		"cancels": {Table: "cancels", Part: "0", Key: "000000000000010"},
+		"agents":  {Table: "agents", Part: "main", Key: "odd"},
+	} {
+		t.Run(table, func(t *testing.T) {
+			t.Parallel()
+			checkFeedTooLarge(t, key)
+		})
+	}
+}
+
+// checkFeedTooLarge checks that an agent, a job and a cancel which are stored after rows that exceed the
+// limit of a feed take effect. The keys of these rows begin with that of first.
+func checkFeedTooLarge(t *testing.T, first store.Key) {
 	hooked, standin := newHookedStore(t)
 	jobLedger := newLedger(hooked)
 	a := newFakeAgent(t)
@@ -175,10 +189,9 @@
 	a.await(t, hasGrant)
 	blocked.Lock()
 	time.Sleep(followWait + 200*time.Millisecond)
-	large := strings.Repeat("[", 850_000)
+	large := []byte(strings.Repeat("[", 850_000))
 	for i := range 4 {
-		standin.Write("jobs", "0", fmt.Sprintf("0%015x", 100+i), []byte(large))
-		standin.Write("agents", "main", fmt.Sprint("odd", i), []byte(large))
+		standin.Write(first.Table, first.Part, fmt.Sprint(first.Key, i), large)
 	}
 	blocked.Unlock()
 	time.Sleep(500 * time.Millisecond)
