--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -113,27 +113,6 @@
 	return a
 }
 
-// settle ends the wait for the runs of earlier planners on an agent that has reported or is dead.
-func (p *Planner) settle(a *agent) {
-	if a.awaited {
-		a.awaited = false
-		p.unreported--
-	}
-}
-
-// RunsUnlistedUntil records that until a time runs may be alive on an agent that it does not list,
-// since its process is new and its runner may be as well; 0 if there are none. It is called before
-// AgentConnected.
-func (p *Planner) RunsUnlistedUntil(id string, until time.Duration) {
-	if a := p.agents[id]; a != nil {
-		a.unlistedUntil = until
-	}
-}
-
-// UnreportedAgents returns the number of agents that have not reported all of their runs yet.
-// Tasks of recovered jobs are not started until it is 0.
-func (p *Planner) UnreportedAgents() int { return p.unreported }
-
 // AgentConnected applies the full state of an agent: its runner (nil if there is none)
 // and the runs that may be alive there. Ends that the agent reports with it must be
 // passed to RunEnded first.
@@ -389,22 +368,6 @@
 	}
 }
 
-// expireUnlisted drops the detached runs of an agent that cannot be alive any more.
-func (p *Planner) expireUnlisted(now time.Duration, a *agent) {
-	for _, r := range a.runs {
-		if r.detachedUntil != 0 && now >= r.detachedUntil {
-			p.stats.LeaseExpirations++
-			p.dropRun(now, r)
-		}
-	}
-	if a.unlistedUntil != 0 && now >= a.unlistedUntil {
-		a.unlistedUntil = 0
-		if a.state != unreported {
-			p.settle(a)
-		}
-	}
-}
-
 // ActivityReported applies an agent's report on some of its active runs. It may be the first that lists
 // a run which started before its process did.
 func (p *Planner) ActivityReported(now time.Duration, id string, active []job.Activity) {
--- /dev/null
+++ b/internal/planner/unlisted.go
@@ -0,0 +1,40 @@
+package planner
+
+import "time"
+
+// settle ends the wait for the runs of earlier planners on an agent that has reported or is dead.
+func (p *Planner) settle(a *agent) {
+	if a.awaited {
+		a.awaited = false
+		p.unreported--
+	}
+}
+
+// RunsUnlistedUntil records that until a time runs may be alive on an agent that it does not list,
+// since its process is new and its runner may be as well; 0 if there are none. It is called before
+// AgentConnected.
+func (p *Planner) RunsUnlistedUntil(id string, until time.Duration) {
+	if a := p.agents[id]; a != nil {
+		a.unlistedUntil = until
+	}
+}
+
+// UnreportedAgents returns the number of agents that have not reported all of their runs yet.
+// Tasks of recovered jobs are not started until it is 0.
+func (p *Planner) UnreportedAgents() int { return p.unreported }
+
+// expireUnlisted drops the detached runs of an agent that cannot be alive any more.
+func (p *Planner) expireUnlisted(now time.Duration, a *agent) {
+	for _, r := range a.runs {
+		if r.detachedUntil != 0 && now >= r.detachedUntil {
+			p.stats.LeaseExpirations++
+			p.dropRun(now, r)
+		}
+	}
+	if a.unlistedUntil != 0 && now >= a.unlistedUntil {
+		a.unlistedUntil = 0
+		if a.state != unreported {
+			p.settle(a)
+		}
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -236,61 +236,6 @@
 	return u, !u.empty()
 }
 
-// runsKnown reports whether s.runs has all runs that may be alive.
-func (s *Supervisor) runsKnown() bool { return s.runsListed || s.opts.Now() >= s.runsKnownAt }
-
-// BootRegistered records that the ledger has the boot of the VM in which this process runs. No earlier
-// process of the agent can have given a lease in this boot if this one is the first.
-func (s *Supervisor) BootRegistered(first bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.bootRegistered = true
-	if first {
-		s.earlierLeaseUntil = 0
-	}
-	s.signal(s.notify)
-}
-
-// Snapshot returns the full state: the runner, all runs that may be alive and all ends
-// that are not stored. It discards pending updates. ok is false until the runner has
-// listed its runs or all earlier leases have expired, and shortly while the boot of the VM is being
-// registered.
-func (s *Supervisor) Snapshot() (u Update, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.runsKnown() || !s.bootRegistered && s.opts.Now() < s.bootAwaitedUntil {
-		return Update{}, false
-	}
-	s.update = Update{}
-	u = s.fullState()
-	u.UnlistedFor = s.unlistedFor()
-	return u, true
-}
-
-// maxClockStep is by how much the time of day may have been stepped since the runner's start: it may be
-// off by 5 s either way.
-const maxClockStep = 10 * time.Second
-
-// unlistedFor returns for how long runs may be alive that neither this process nor the current runner
-// knows. There are none if no earlier process gave a lease since the VM booted, or if the current runner
-// has served its address since before the last lease that one may have given to another runner.
-func (s *Supervisor) unlistedFor() time.Duration {
-	if r := s.runner; r != nil && r.StartTime != 0 &&
-		time.Since(time.UnixMilli(r.StartTime)) > s.opts.MaxLease+killTime+maxClockStep {
-		return 0
-	}
-	return max(s.earlierLeaseUntil+killTime-s.opts.Now(), 0)
-}
-
-// fullState returns the full state as an update.
-func (s *Supervisor) fullState() Update {
-	u := Update{RunnerChanged: true, Runner: s.reachableRunner(), Ends: append([]job.End(nil), s.ends...)}
-	for _, r := range s.runs {
-		u.Active = append(u.Active, r.activity)
-	}
-	return u
-}
-
 // GrantLease allows the lease of all runs to be extended until a time on the clock
 // Options.Now. An earlier, longer grant stays in force.
 func (s *Supervisor) GrantLease(until time.Duration) {
