--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -8,9 +8,10 @@
 //   - A task has at most one run that may be alive; steps that allow speculative
 //     copies are no exception, as the planner starts none. A run may be alive from
 //     the order to start it until its end is reported, its agent does not list it
-//     any more, or the lease of its agent has certainly expired.
-//   - A task of a recovered job is not started while any agent is unreported, because
-//     a run ordered by an earlier planner may be alive on that agent.
+//     any more though its process would know it, or the lease of its agent has
+//     certainly expired.
+//   - A task of a recovered job is not started before each agent has reported all runs
+//     that may be alive there, because a run ordered by an earlier planner may be.
 //   - A task that is done is never started again.
 package planner
 
@@ -57,7 +58,7 @@
 	// orderedAgents lists the agents in the order in which they were added, so that ties
 	// between equal costs are broken deterministically.
 	orderedAgents []*agent
-	// unreported counts agents that have not reported their runs yet.
+	// unreported counts agents that have not reported all of their runs yet.
 	unreported int
 	// waitingSteps holds the steps with waiting tasks.
 	waitingSteps []*stepState
