ledger: a boot of another VM at the address proves nothing

The registration of a boot was compared with that of the VM that had the agent's address before, whatever VM that was. A VM that gets the address of another one, whose processes may be alive until their lease ends, has another boot id, and its agent told the leader that no unlisted run may be alive. Found by reading.

The registration has the VM's name and the id of its installed system, and one of another VM proves nothing.

--- a/internal/boottime/reading.go
+++ b/internal/boottime/reading.go
@@ -8,6 +8,9 @@
 
 // Reading identifies a boot of a machine by what its kernel and its clocks said at a moment.
 type Reading struct {
+	// Machine names the machine. It is not empty, and another machine that may get its address has
+	// another name.
+	Machine string
 	// BootID is the kernel's random id of the boot; empty if unknown.
 	BootID string
 	// Clock is the time since the boot.
@@ -22,11 +25,14 @@
 // maxRounding bounds the errors of both clocks beside their drift.
 const maxRounding = 10 * time.Millisecond
 
-// BootedSince reports whether it is certain that the machine has booted since an earlier reading:
-// within a boot the id stays, and the clock neither goes back nor gains on the reference. A clock
-// that falls behind the reference proves nothing, since the machine may have been suspended together
-// with its processes.
+// BootedSince reports whether it is certain that the machine has booted since an earlier reading.
+// Within a boot the id stays, and the clock neither goes back nor gains on the reference. A clock that
+// falls behind the reference proves nothing, since the machine may have been suspended together with
+// its processes, and neither does a reading of another machine.
 func (r Reading) BootedSince(earlier Reading) bool {
+	if r.Machine != earlier.Machine {
+		return false
+	}
 	if r.BootID != "" && earlier.BootID != "" && r.BootID != earlier.BootID {
 		return true
 	}
@@ -41,8 +47,13 @@
 }
 
 // BootID returns the kernel's random id of this boot; "" if it names none.
-func BootID() string {
-	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+func BootID() string { return readID("/proc/sys/kernel/random/boot_id") }
+
+// MachineID returns the id of the installed system; "" if it has none.
+func MachineID() string { return readID("/etc/machine-id") }
+
+func readID(path string) string {
+	id, err := os.ReadFile(path)
 	if err != nil {
 		return ""
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -301,7 +301,7 @@
 	})
 	agentFollower := follower.New(follower.Options{
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
-		Boot: jobLedger.NewBootRegistration(n.node.IP, boottime.BootID(), boottime.Now),
+		Boot: jobLedger.NewBootRegistration(n.node.IP, n.node.Name+"/"+boottime.MachineID(), boottime.BootID(), boottime.Now),
 		Name: n.node.IP, Address: n.advertisedAddress(), Now: boottime.Now,
 	})
 	peers, err := net.Listen("tcp", n.peerAddress())
--- a/internal/ledger/boot.go
+++ b/internal/ledger/boot.go
@@ -22,6 +22,7 @@
 
 // bootRow is a row of bootTable.
 type bootRow struct {
+	Machine     string `json:"machine"`
 	BootID      string `json:"boot_id,omitempty"`
 	ClockMillis int64  `json:"clock_ms"`
 	StoreMillis int64  `json:"store_ms"`
@@ -40,25 +41,25 @@
 		return boottime.Reading{}, errors.New("decode boot: clock out of range")
 	}
 	return boottime.Reading{
-		BootID: b.BootID, Clock: time.Duration(b.ClockMillis) * time.Millisecond, Reference: time.Duration(b.StoreMillis) * time.Millisecond,
+		Machine: b.Machine, BootID: b.BootID, Clock: time.Duration(b.ClockMillis) * time.Millisecond, Reference: time.Duration(b.StoreMillis) * time.Millisecond,
 	}, nil
 }
 
 // BootRegistration registers the boot of its VM in which an agent process runs.
 type BootRegistration struct {
-	ledger *Ledger
-	agent  string
-	bootID string
-	now    func() time.Duration
+	ledger          *Ledger
+	agent           string
+	machine, bootID string
+	now             func() time.Duration
 	// value is what the last attempt wrote, whose outcome may be unknown, and first its result.
 	value []byte
 	first bool
 }
 
-// NewBootRegistration returns a registration for the process of an agent. bootID is the kernel's id
-// of the boot, empty if unknown, and now the time since the boot.
-func (l *Ledger) NewBootRegistration(agent, bootID string, now func() time.Duration) *BootRegistration {
-	return &BootRegistration{ledger: l, agent: agent, bootID: bootID, now: now}
+// NewBootRegistration returns a registration for the process of an agent. machine names the VM, bootID
+// is the kernel's id of the boot, empty if unknown, and now the time since the boot.
+func (l *Ledger) NewBootRegistration(agent, machine, bootID string, now func() time.Duration) *BootRegistration {
+	return &BootRegistration{ledger: l, agent: agent, machine: machine, bootID: bootID, now: now}
 }
 
 // Register stores the boot. first reports whether it is certain that no earlier process of the agent
@@ -79,11 +80,11 @@
 			return b.first, nil
 		}
 	}
-	b.first, err = b.firstAfter(ctx, row, boottime.Reading{BootID: b.bootID, Clock: before.Truncate(time.Millisecond), Reference: page.Time})
+	b.first, err = b.firstAfter(ctx, row, boottime.Reading{Machine: b.machine, BootID: b.bootID, Clock: before.Truncate(time.Millisecond), Reference: page.Time})
 	if err != nil {
 		return false, err
 	}
-	b.value, err = json.Marshal(bootRow{BootID: b.bootID, ClockMillis: b.now().Milliseconds(), StoreMillis: page.Time.Milliseconds()})
+	b.value, err = json.Marshal(bootRow{Machine: b.machine, BootID: b.bootID, ClockMillis: b.now().Milliseconds(), StoreMillis: page.Time.Milliseconds()})
 	if err != nil {
 		return false, fmt.Errorf("encode boot: %w", err)
 	}
--- a/internal/ledger/boot_test.go
+++ b/internal/ledger/boot_test.go
@@ -22,7 +22,7 @@
 func TestBootRegistration_First(t *testing.T) {
 	l, _ := newLedger(t)
 	register := func(bootID string, clock func() time.Duration) bool {
-		first, err := l.NewBootRegistration("10.0.0.1", bootID, clock).Register(t.Context())
+		first, err := l.NewBootRegistration("10.0.0.1", "vm", bootID, clock).Register(t.Context())
 		must.NoError(t, err)
 		return first
 	}
@@ -37,12 +37,23 @@
 	test.False(t, register("b", next))
 }
 
+// Guards against taking a process for the first in its boot on a VM that has got the address of another one,
+// whose runs may be alive.
+func TestBootRegistration_AnotherVM(t *testing.T) {
+	l, _ := newLedger(t)
+	for _, machine := range []string{"vm", "another"} {
+		first, err := l.NewBootRegistration("10.0.0.1", machine, machine, clockFrom(time.Hour)).Register(t.Context())
+		must.NoError(t, err)
+		test.Eq(t, machine == "vm", first, test.Sprint(machine))
+	}
+}
+
 // Guards against taking a process for the first whose predecessor was of a version without boot
 // registrations.
 func TestBootRegistration_EarlierVersion(t *testing.T) {
 	l, _ := newLedger(t)
 	must.NoError(t, l.RegisterAgent(t.Context(), "10.0.0.1", "10.0.0.1:1"))
-	first, err := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour)).Register(t.Context())
+	first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour)).Register(t.Context())
 	must.NoError(t, err)
 	test.False(t, first)
 }
@@ -50,7 +61,7 @@
 // Guards against a registration that counts as that of another process because its answer was lost.
 func TestBootRegistration_LostAnswer(t *testing.T) {
 	l, standin := newLedger(t)
-	registration := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour))
+	registration := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour))
 	standin.SetFault(platformtest.Lost)
 	_, err := registration.Register(t.Context())
 	must.Error(t, err)
@@ -68,7 +79,7 @@
 		`{"boot_id":1}`, strings.Repeat("[", 20_000), `{"clock_ms":` + strings.Repeat("[", 20_000),
 	} {
 		writeRow(t, s, "boots", "1", "10.0.0.1", value)
-		first, err := l.NewBootRegistration("10.0.0.1", "a", clockFrom(time.Hour)).Register(t.Context())
+		first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour)).Register(t.Context())
 		must.NoError(t, err)
 		test.False(t, first, test.Sprint(value[:min(len(value), 40)]))
 	}
