--- a/review/_world/cases.go
+++ b/review/_world/cases.go
@@ -63,7 +63,7 @@
 func cancelCase(record *os.File, trouble bool) (*cluster, error) {
 	const (
 		agents      = 11
-		length      = 50 * time.Second
+		length      = 80 * time.Second
 		interval    = 70 * time.Millisecond // 14 submissions a second
 		promptShare = 0.4
 		stay        = 3 * time.Second // until the others are cancelled
