--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// stepSpec is a step as submitted. WorkMS is how long a task works; it is not submitted.
+// stepSpec is a step as submitted. Its estimate is how long a task works.
 type stepSpec struct {
 	Count         int    `json:"count"`
 	CPU           int64  `json:"cpu,omitempty"`
