planner, supervisor, leader: show why a task stays over its latency target

Nothing told a clock that was reset from a speed limit that did not take effect. Agents now report the speed limit that they were ordered to enforce and the one that their runner has confirmed. The leader logs a task that has not been clearly below its target for 1.5 s once a second, with its clock, the forecast, and per best-effort run the ordered, the agent's, the confirmed and the observed speed with their ages. Agents log and count a run that uses more CPU than its confirmed limit allows. No decision changes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -254,6 +254,7 @@
 		}
 		out = append(out, supervisor.RunDetails{
 			Run: run, BestEffort: d.Filler, LatencyTarget: time.Duration(d.LatencyTargetMs) * time.Millisecond,
+			CPU: d.Cpu,
 		})
 	}
 	return out
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -1,6 +1,9 @@
 package job
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // MaxRunNumber bounds the numbers of runs that are read: a higher one is not of this system, whose
 // numbers begin at 65,536 times that of the term.
@@ -57,6 +60,30 @@
 	CPU int64
 	// Unconfirmed is set while the runner has not confirmed the start.
 	Unconfirmed bool
+	// OrderedSpeed is the speed limit that the agent has been ordered to enforce, RunnerSpeed
+	// the one that the runner has confirmed. Only agents set them.
+	OrderedSpeed, RunnerSpeed Speed
+}
+
+// FullSpeed is the speed limit of a run that is not throttled, in percent.
+const FullSpeed = 100
+
+// Speed is a speed limit of a run. Its zero value is unknown.
+type Speed struct {
+	// Percent is the limit in percent of the run's full speed, 0 to FullSpeed.
+	Percent int
+	Known   bool
+}
+
+// SpeedOf returns a known speed limit.
+func SpeedOf(percent int) Speed { return Speed{Percent: percent, Known: true} }
+
+// String returns the limit in percent, "unknown" if it is unknown.
+func (s Speed) String() string {
+	if !s.Known {
+		return "unknown"
+	}
+	return strconv.Itoa(s.Percent)
 }
 
 // Resources is the capacity of a runner or the request of a task.
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -51,6 +51,8 @@
 	budget       budget
 	// planPanics counts consecutive plans that panicked while no job was handled.
 	planPanics int
+	// overTargetLoggedAt is when tasks over their target were last logged.
+	overTargetLoggedAt time.Duration
 	// renewedAt is when the last successful term renewal was sent.
 	renewedAt time.Duration
 
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -227,6 +227,7 @@
 func runDetails(run job.Run, step *job.Step) *wirepb.RunDetails {
 	return &wirepb.RunDetails{
 		Run: wire.RunRef(run), Filler: step.BestEffort, LatencyTargetMs: step.LatencyTarget.Milliseconds(),
+		Cpu: step.CPU,
 	}
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -48,6 +48,7 @@
 		return now, err
 	}
 	planSeconds.UpdateDuration(began)
+	r.logOverTarget(now)
 	countOrders(orders)
 	for _, o := range orders.Stops {
 		if conn := r.conns[o.Agent]; conn != nil {
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -34,9 +34,17 @@
 	speedLimit int
 	// speedLimitChangedAt is when speedLimit last changed; 0 if it never did.
 	speedLimitChangedAt time.Duration
+	// agentSpeed is the speed limit that the agent reports as ordered, runnerSpeed the one that
+	// it reports as confirmed. They and the run's figure were reported at reportedAt.
+	agentSpeed, runnerSpeed job.Speed
+	reportedAt              time.Duration
 	// overTargetSince is when the tail latency of a latency-critical run last exceeded
 	// its target; 0 while it is below the target.
 	overTargetSince time.Duration
+	// clearlyBelowAt is when a report of a latency-critical run last left headroomGoal, or
+	// when its first report arrived. tailLatency is that of the last report.
+	clearlyBelowAt time.Duration
+	tailLatency    time.Duration
 	// confirmedAt is when the run was first reported as started; 0 before.
 	confirmedAt time.Duration
 	stalled     bool
@@ -393,6 +401,7 @@
 		r.progressAt = now
 	}
 	r.cpu = act.CPU
+	r.agentSpeed, r.runnerSpeed, r.reportedAt = act.OrderedSpeed, act.RunnerSpeed, now
 	if act.Percent != r.percent {
 		r.percent = act.Percent
 		r.progressAt = now
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -41,6 +41,10 @@
 			continue
 		}
 		headroom := float64(r.step.step.LatencyTarget) / float64(act.TailLatency)
+		r.tailLatency = act.TailLatency
+		if headroom >= headroomGoal || r.clearlyBelowAt == 0 {
+			r.clearlyBelowAt = now
+		}
 		switch {
 		case headroom >= 1:
 			r.overTargetSince = 0
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -307,7 +307,7 @@
 	r.activity = act
 	if now := s.opts.Now(); wasUnconfirmed || now-r.reportedAt >= reportInterval {
 		r.reportedAt = now
-		s.update.Active = append(s.update.Active, act)
+		s.update.Active = append(s.update.Active, r.reported())
 		s.signal(s.notify)
 	}
 }
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -47,6 +47,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runner_reports_total{result=%q}", result)).Inc()
 }
 
+// speedExceeded counts reports of a best-effort run that exceeds its confirmed speed limit.
+var speedExceeded = metrics.NewCounter("bamboowood_runs_above_speed_limit_total")
+
 func countFailedRenewal(cause string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_lease_renewals_failed_total{cause=%q}", cause)).Inc()
 }
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -127,7 +127,7 @@
 	case refusal == "":
 		r.phase = running
 		r.activity.Unconfirmed = false
-		s.update.Active = append(s.update.Active, r.activity)
+		s.update.Active = append(s.update.Active, r.reported())
 		s.signal(s.notify)
 		s.opts.Logger.WithFields(log.Fields{
 			"task": run.Task.String(), "run": run.Number, "runner": fence.RunnerID,
--- a/internal/supervisor/pacer.go
+++ b/internal/supervisor/pacer.go
@@ -75,11 +75,36 @@
 	}
 	for _, act := range active {
 		if r := s.runs[act.Run]; r != nil {
+			if s.exceedsSpeedLimit(r) {
+				speedExceeded.Inc()
+				s.opts.Logger.WithFields(log.Fields{
+					"task": act.Run.Task.String(), "run": act.Run.Number, "cpu": act.CPU, "cpu_of": r.details.CPU,
+					"percent": r.confirmedSpeedLimit, "confirmed_ms": (s.opts.Now() - r.speedConfirmedAt).Milliseconds(),
+				}).Warn("run uses more CPU than its confirmed speed limit allows")
+			}
 			s.throttleRun(act.Run, r)
 		}
 	}
 }
 
+const (
+	// speedSettleTime is the time from the confirmation of a speed limit until reports cover
+	// only its effect: their figures are of the last half second.
+	speedSettleTime = 700 * time.Millisecond
+	// speedTolerance is the share of a run's full CPU by which a report may exceed its limit.
+	speedTolerance = 0.2
+)
+
+// exceedsSpeedLimit reports whether the last report shows a best-effort run at more than the speed
+// that the runner has confirmed.
+func (s *Supervisor) exceedsSpeedLimit(r *taskRun) bool {
+	if !r.details.BestEffort || r.details.CPU <= 0 || s.opts.Now()-r.speedConfirmedAt < speedSettleTime {
+		return false
+	}
+	share := float64(r.confirmedSpeedLimit)/fullSpeed + speedTolerance
+	return float64(r.activity.CPU) > share*float64(r.details.CPU)
+}
+
 func (s *Supervisor) throttleStandalone(active []job.Activity) {
 	worst := 0.0
 	for _, act := range active {
@@ -100,6 +125,13 @@
 	}
 }
 
+// reported returns the activity of a run with its speed limits.
+func (r *taskRun) reported() job.Activity {
+	act := r.activity
+	act.OrderedSpeed, act.RunnerSpeed = job.SpeedOf(r.speedLimit), job.SpeedOf(r.confirmedSpeedLimit)
+	return act
+}
+
 // throttleRun sends a speed limit that the runner has not confirmed. A failed call is repeated
 // with the next report.
 func (s *Supervisor) throttleRun(run job.Run, r *taskRun) {
@@ -120,7 +152,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if err == nil {
-			r.confirmedSpeedLimit = percent
+			r.confirmedSpeedLimit, r.speedConfirmedAt = percent, s.opts.Now()
 			return
 		}
 		s.opts.Logger.WithError(err).WithFields(log.Fields{
--- a/internal/supervisor/snapshot.go
+++ b/internal/supervisor/snapshot.go
@@ -56,7 +56,7 @@
 func (s *Supervisor) fullState() Update {
 	u := Update{RunnerChanged: true, Runner: s.reachableRunner(), Ends: append([]job.End(nil), s.ends...)}
 	for _, r := range s.runs {
-		u.Active = append(u.Active, r.activity)
+		u.Active = append(u.Active, r.reported())
 	}
 	return u
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -46,6 +46,8 @@
 	Run           job.Run
 	BestEffort    bool
 	LatencyTarget time.Duration
+	// CPU is the CPU in use at full speed, in thousandths of a core; 0 if unknown.
+	CPU int64
 }
 
 // RefusedStart reports that a run is not alive on the runner and cannot start later.
@@ -97,6 +99,8 @@
 	// speedLimit is the ordered speed limit, in percent of the run's full speed;
 	// confirmedSpeedLimit is the one that the runner has confirmed.
 	speedLimit, confirmedSpeedLimit int
+	// speedConfirmedAt is when confirmedSpeedLimit was confirmed.
+	speedConfirmedAt time.Duration
 	// reportedAt is when the run's progress was last put into an update.
 	reportedAt time.Duration
 	// sent is set once a call to start the run may have reached the runner.
--- a/internal/wire/schedule.go
+++ b/internal/wire/schedule.go
@@ -31,9 +31,26 @@
 	return &wirepb.RunActivity{
 		Run: RunRef(a.Run), Checkpoint: a.Checkpoint, Percent: int32(a.Percent),
 		TailLatencyMs: a.TailLatency.Milliseconds(), Cpu: a.CPU, Unconfirmed: a.Unconfirmed,
+		OrderedSpeed: encodeSpeed(a.OrderedSpeed), RunnerSpeed: encodeSpeed(a.RunnerSpeed),
 	}
 }
 
+func encodeSpeed(s job.Speed) *int32 {
+	if !s.Known {
+		return nil
+	}
+	percent := int32(s.Percent)
+	return &percent
+}
+
+// decodeSpeed decodes a speed limit. One that is out of range is unknown.
+func decodeSpeed(percent *int32) job.Speed {
+	if percent == nil || *percent < 0 || *percent > job.FullSpeed {
+		return job.Speed{}
+	}
+	return job.SpeedOf(int(*percent))
+}
+
 // Activities decodes runs that may be alive. Runs that cannot be decoded are skipped; only
 // a peer of another version sends them.
 func Activities(in []*wirepb.RunActivity) []job.Activity {
@@ -46,6 +63,7 @@
 		out = append(out, job.Activity{
 			Run: run, Checkpoint: a.Checkpoint, Percent: int(a.Percent),
 			TailLatency: time.Duration(a.TailLatencyMs) * time.Millisecond, CPU: a.Cpu, Unconfirmed: a.Unconfirmed,
+			OrderedSpeed: decodeSpeed(a.OrderedSpeed), RunnerSpeed: decodeSpeed(a.RunnerSpeed),
 		})
 	}
 	return out
