--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -45,6 +46,14 @@
 	unreadable int
 	// throttleSilent leaves throttle calls without an answer.
 	throttleSilent bool
+	// onThrottle, if it is set, is called before a throttle call takes effect. If it returns an error,
+	// the call gets no answer and has no effect.
+	onThrottle func(percent int) error
+	// speed is the speed limit in force of each run that has been throttled.
+	speed map[job.Run]int
+	// fullCPU is the CPU of a run at full speed, in thousandths of a core. Reports hold the CPU at the
+	// speed limit in force if it is set.
+	fullCPU int64
 	// maxEnds bounds the ends in each report; 0 means no bound.
 	maxEnds int
 	// leaseEnds are the requested lease ends of all renewals, in order.
@@ -141,7 +150,7 @@
 				ends = ends[:f.maxEnds]
 			}
 			return runner.Report{
-				Clock: f.clock(), StartTime: f.startTime, Active: append([]job.Activity(nil), f.active...),
+				Clock: f.clock(), StartTime: f.startTime, Active: f.measuredLocked(),
 				Ends: append([]job.End(nil), ends...), MoreEnds: more, Unreadable: f.unreadable,
 			}, nil
 		}
@@ -154,7 +163,7 @@
 	}
 }
 
-func (f *fakeRunner) Throttle(ctx context.Context, _ runner.Fence, _ job.Run, percent int) error {
+func (f *fakeRunner) Throttle(ctx context.Context, _ runner.Fence, run job.Run, percent int) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.speeds = append(f.speeds, percent)
@@ -164,9 +173,73 @@
 		f.mu.Lock()
 		return ctx.Err()
 	}
+	if f.onThrottle != nil {
+		f.mu.Unlock()
+		err := f.onThrottle(percent)
+		f.mu.Lock()
+		if err != nil {
+			return err
+		}
+	}
+	f.setSpeedLocked(run, percent)
 	return nil
 }
 
+func (f *fakeRunner) setSpeedLocked(run job.Run, percent int) {
+	if f.speed == nil {
+		f.speed = map[job.Run]int{}
+	}
+	f.speed[run] = percent
+}
+
+// setSpeed makes a speed limit take effect without a call of this process.
+func (f *fakeRunner) setSpeed(run job.Run, percent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.setSpeedLocked(run, percent)
+}
+
+// speedOf returns the speed limit in force of a run.
+func (f *fakeRunner) speedOf(run job.Run) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if percent, ok := f.speed[run]; ok {
+		return percent
+	}
+	return fullSpeed
+}
+
+func (f *fakeRunner) throttleCalls() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.speeds)
+}
+
+// setTail sets the tail latency of a run in later reports.
+func (f *fakeRunner) setTail(run job.Run, tail time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.active {
+		if f.active[i].Run == run {
+			f.active[i].TailLatency = tail
+		}
+	}
+}
+
+func (f *fakeRunner) measuredLocked() []job.Activity {
+	active := slices.Clone(f.active)
+	for i := range active {
+		if f.fullCPU > 0 && active[i].TailLatency == 0 {
+			percent, throttled := f.speed[active[i].Run]
+			if !throttled {
+				percent = fullSpeed
+			}
+			active[i].CPU = f.fullCPU * int64(percent) / fullSpeed
+		}
+	}
+	return active
+}
+
 const testLease = 5 * time.Second
 
 // harness is a supervisor with a fakeRunner, in virtual time.
