planner: a rough report no longer resets the time over the latency target

Cause: reports are rough by up to a tenth, and one report at the target (125 ms of 125) or just below set the time over it to zero, which kept the throttling to zero from beginning or took it back at once. Change: package latency tells from several reports whether a task may still be over its target: one that is clearly below ends that, one slightly below does not. TestPlanner_SingleReportAtTarget failed before.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -139,7 +139,7 @@
 	stats := r.planner.Stats()
 	jobs := r.planner.Jobs()
 	loads := r.planner.Loads(r.opts.Now())
-	fleet := r.planner.Fleet()
+	fleet := r.planner.Fleet(r.opts.Now())
 	r.mu.Unlock()
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
--- a/internal/leader/latency.go
+++ b/internal/leader/latency.go
@@ -14,13 +14,12 @@
 const (
 	// overTargetInterval is the time between two log lines on one task over its target.
 	overTargetInterval = time.Second
-	// overTargetThreshold is how long a task must not have been clearly below its target for
-	// such a line.
+	// overTargetThreshold is how long a task must have been over its target for such a line.
 	overTargetThreshold = 1500 * time.Millisecond
 )
 
-// overTargetSeconds is the time for which tasks were not clearly below their target, as far as it
-// exceeds overTargetThreshold, summed over tasks that have colocated best-effort runs.
+// overTargetSeconds is the time for which tasks with colocated best-effort runs were over their target,
+// as far as it exceeds overTargetThreshold, summed over tasks.
 var overTargetSeconds = metrics.NewFloatCounter("bamboowood_task_over_target_seconds_total")
 
 // logOverTarget logs the latency-critical tasks that stay over their target. It is called with
@@ -35,8 +34,7 @@
 		r.opts.Logger.WithFields(log.Fields{
 			"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent,
 			"tail_ms": o.TailLatency.Milliseconds(), "target_ms": o.Target.Milliseconds(),
-			"over_ms": o.Duration.Milliseconds(), "not_clearly_below_ms": o.NotClearlyBelow.Milliseconds(),
-			"headroom": o.Headroom, "unattainable": o.Unattainable, "best_effort": describeSpeeds(o.BestEffort),
+			"over_ms": o.Duration.Milliseconds(), "headroom": o.Headroom, "unattainable": o.Unattainable, "best_effort": describeSpeeds(o.BestEffort),
 		}).Info("latency-critical task over its target")
 	}
 }
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/latency"
 )
 
 // phase is the stage of a run's life cycle.
@@ -38,13 +39,9 @@
 	// it reports as confirmed. They and the run's figure were reported at reportedAt.
 	agentSpeed, runnerSpeed job.Speed
 	reportedAt              time.Duration
-	// overTargetSince is when the tail latency of a latency-critical run last exceeded
-	// its target; 0 while it is below the target.
-	overTargetSince time.Duration
-	// clearlyBelowAt is when a report of a latency-critical run last left headroomGoal, or
-	// when its first report arrived. tailLatency is that of the last report.
-	clearlyBelowAt time.Duration
-	tailLatency    time.Duration
+	// latency tracks a latency-critical run; tailLatency is that of its last report.
+	latency     latency.Watch
+	tailLatency time.Duration
 	// confirmedAt is when the run was first reported as started; 0 before.
 	confirmedAt time.Duration
 	stalled     bool
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -42,15 +42,7 @@
 		}
 		headroom := float64(r.step.step.LatencyTarget) / float64(act.TailLatency)
 		r.tailLatency = act.TailLatency
-		if headroom >= headroomGoal || r.clearlyBelowAt == 0 {
-			r.clearlyBelowAt = now
-		}
-		switch {
-		case headroom >= 1:
-			r.overTargetSince = 0
-		case r.overTargetSince == 0:
-			r.overTargetSince = now
-		}
+		r.latency.Observe(now, act.TailLatency, r.step.step.LatencyTarget)
 		s := sums[r.step]
 		sums[r.step] = sum{s.headroom + headroom, s.tasks + 1}
 	}
--- a/internal/planner/latency.go
+++ b/internal/planner/latency.go
@@ -13,10 +13,8 @@
 	Run         job.Run
 	TailLatency time.Duration
 	Target      time.Duration
-	// Duration is how long the task has been over its target, NotClearlyBelow how long no
-	// report has left headroomGoal. A large difference shows reports around the target.
-	Duration        time.Duration
-	NotClearlyBelow time.Duration
+	// Duration is how long the task has been over its target.
+	Duration time.Duration
 	// Headroom is the forecast headroom without best-effort tasks. Unattainable is set if the
 	// model expects the target to be missed without them.
 	Headroom     float64
@@ -37,8 +35,8 @@
 	Stopping            bool
 }
 
-// OverTarget returns the latency-critical tasks that are over their target and have not been
-// clearly below it for longer than threshold, with colocated best-effort runs.
+// OverTarget returns the latency-critical tasks that have been over their target for longer than
+// threshold and have colocated best-effort runs.
 func (p *Planner) OverTarget(now, threshold time.Duration) []OverTarget {
 	var tasks []OverTarget
 	for _, a := range p.orderedAgents {
@@ -46,20 +44,16 @@
 			continue
 		}
 		for _, r := range a.runs {
-			target := r.step.step.LatencyTarget
-			if target <= 0 || r.tailLatency < target || now-r.clearlyBelowAt <= threshold {
+			over := r.latency.Over(now)
+			if over <= threshold {
 				continue
 			}
-			o := OverTarget{
-				Agent: a.id, Run: r.id, TailLatency: r.tailLatency, Target: target, NotClearlyBelow: now - r.clearlyBelowAt,
+			tasks = append(tasks, OverTarget{
+				Agent: a.id, Run: r.id, TailLatency: r.tailLatency, Target: r.step.step.LatencyTarget, Duration: over,
 				Headroom:     p.headroom(now, r.step),
 				Unattainable: p.interference.TargetUnattainable(r.step.job.job.ID, now+forecastHorizon),
 				BestEffort:   a.bestEffortSpeeds(now),
-			}
-			if r.overTargetSince != 0 {
-				o.Duration = now - r.overTargetSince
-			}
-			tasks = append(tasks, o)
+			})
 		}
 	}
 	return tasks
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -63,7 +63,7 @@
 }
 
 // Fleet returns the load of the whole fleet.
-func (p *Planner) Fleet() FleetLoad {
+func (p *Planner) Fleet(now time.Duration) FleetLoad {
 	var l FleetLoad
 	for _, a := range p.orderedAgents {
 		if a.state != live || a.runner == nil {
@@ -81,7 +81,7 @@
 			if r.step.step.BestEffort {
 				l.AllowedBestEffortCPU += r.step.step.CPU * int64(r.speedLimit) / fullSpeed
 			}
-			if r.overTargetSince != 0 {
+			if r.latency.Over(now) > 0 {
 				l.OverTarget++
 			}
 		}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -108,8 +108,8 @@
 func (a *agent) timeOverTarget(now time.Duration, s *stepState) time.Duration {
 	longest := time.Duration(0)
 	for _, r := range a.runs {
-		if r.step == s && r.overTargetSince != 0 {
-			longest = max(longest, now-r.overTargetSince)
+		if r.step == s {
+			longest = max(longest, r.latency.Over(now))
 		}
 	}
 	return longest
