planner: no best-effort task starts at full speed beside a task over its target

Cause: placement asks the model only, and a start is always at full speed, also of a starved job, until the next report. Change: placement avoids such a runner, a start carries its initial speed limit, and the agent sets it with the confirmation of the start.

--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -1,6 +1,9 @@
 package leader
 
 import (
+	"google.golang.org/protobuf/proto"
+
+	"bamboowood/internal/job"
 	"bamboowood/internal/planner"
 	"bamboowood/internal/wire"
 	"bamboowood/internal/wire/wirepb"
@@ -27,6 +30,9 @@
 			Details: runDetails(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
 			Ticket: o.Ticket, ValidUntil: int64(until),
 		}
+		if o.Speed != job.FullSpeed {
+			order.Speed = proto.Int32(int32(o.Speed))
+		}
 		if c.payloads.MarkSent(o.Run.Task.Job) {
 			order.Payload, order.SamePayload = "", true
 		}
--- a/internal/planner/harm_test.go
+++ b/internal/planner/harm_test.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, o := range orders.Starts {
-		s.runs[o.Run] = &simRun{start: o, speed: fullSpeed}
+		s.runs[o.Run] = &simRun{start: o, speed: o.Speed}
 	}
 	if s.rng.Float64() < 0.12 {
 		s.jobs++
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -123,6 +123,9 @@
 	if a.criticalTasks == 0 || share <= 0 {
 		return 0, 0
 	}
+	if a.longestOverTarget(now) > maxTimeOverTarget {
+		return 1, 0
+	}
 	for _, n := range p.colocatedImages(now, a) {
 		pressure := p.interference.Pressure(n.image, s.Image)
 		ownCost := pressure * share
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -30,6 +30,14 @@
 	minSpeedChange = 8
 )
 
+// initialSpeed is the speed limit with which a run of the step starts on the agent, in percent.
+func (a *agent) initialSpeed(now time.Duration, s *stepState) int {
+	if s.step.BestEffort && a.longestOverTarget(now) > maxTimeOverTarget {
+		return 0
+	}
+	return fullSpeed
+}
+
 // Throttle orders an agent to limit the speed of a run.
 type Throttle struct {
 	Agent string
@@ -103,6 +111,16 @@
 	return limits, overTarget, minHeadroom
 }
 
+// longestOverTarget is the longest time for which any run on the agent has been over its latency
+// target.
+func (a *agent) longestOverTarget(now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range a.runs {
+		longest = max(longest, r.latency.Over(now))
+	}
+	return longest
+}
+
 // timeOverTarget is the longest time for which a run of the step on the agent has been
 // over its latency target.
 func (a *agent) timeOverTarget(now time.Duration, s *stepState) time.Duration {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -17,6 +17,8 @@
 	Checkpoint string
 	// Ticket is set if the queue uses an advice service.
 	Ticket string
+	// Speed is the initial speed limit, in percent of the run's full speed.
+	Speed int
 }
 
 // Stop orders an agent to stop a run, or to prevent its start.
@@ -303,9 +305,13 @@
 		Task:   job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index, Index: index},
 		Number: number,
 	}
-	p.addRun(now, a, s, &s.tasks[index], id).planned = true
+	r := p.addRun(now, a, s, &s.tasks[index], id)
+	r.planned = true
+	if speed := a.initialSpeed(now, s); speed != fullSpeed {
+		r.setSpeedLimit(now, speed)
+	}
 	p.startBudget -= int64(len(s.job.job.Payload))
-	o := Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint}
+	o := Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint, Speed: r.speedLimit}
 	if s.advice != nil {
 		o.Ticket = s.advice.tickets[a.runner.ID].text
 	}
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -31,6 +31,9 @@
 		return
 	}
 	r := &taskRun{details: o.Details, speedLimit: fullSpeed, confirmedSpeedLimit: fullSpeed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
+	if o.Speed.Known {
+		r.speedLimit = o.Speed.Percent
+	}
 	s.runs[run] = r
 	if s.runner == nil || s.runner.Draining {
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -39,6 +39,8 @@
 	Ticket     string
 	// ValidUntil is when the order expires, on the clock Options.Now; 0 means never.
 	ValidUntil time.Duration
+	// Speed is the initial speed limit; unknown means full speed.
+	Speed job.Speed
 }
 
 // RunDetails holds the properties of a run that throttling needs.
--- a/internal/supervisor/throttle_test.go
+++ b/internal/supervisor/throttle_test.go
@@ -128,7 +128,7 @@
 		}
 		must.Eq(t, 0, h.fake.speedOf(bestEffort), must.Sprintf("%s over the target, of %s", 3200*time.Millisecond, harmLimit))
 		late := taskRunOf(3)
-		h.Start(t.Context(), Order{Details: RunDetails{Run: late, BestEffort: true, CPU: testFullCPU}})
+		h.Start(h.t.Context(), Order{Details: RunDetails{Run: late, BestEffort: true, CPU: testFullCPU}})
 		h.pass(100 * time.Millisecond)
 		test.Eq(t, 0, h.fake.speedOf(late), test.Sprint("a run that starts during the pause"))
 		h.fake.setTail(critical, testTarget/2)
@@ -151,3 +151,19 @@
 		}
 	})
 }
+
+// Guards against HARM: a best-effort task started at full speed beside one over its target.
+func TestSupervisor_StartWithSpeedLimit(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.startColocated()
+		late := taskRunOf(3)
+		h.Start(h.t.Context(), Order{
+			Details: RunDetails{Run: late, BestEffort: true, CPU: testFullCPU}, Speed: job.SpeedOf(0),
+		})
+		h.pass(50 * time.Millisecond)
+		test.Eq(t, 0, h.fake.speedOf(late))
+		h.Throttle(late, fullSpeed)
+		h.pass(50 * time.Millisecond)
+		test.Eq(t, fullSpeed, h.fake.speedOf(late))
+	})
+}
--- a/internal/wire/schedule.go
+++ b/internal/wire/schedule.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bamboowood/internal/job"
 	"bamboowood/internal/wire/wirepb"
 )
@@ -39,12 +41,11 @@
 	if !s.Known {
 		return nil
 	}
-	percent := int32(s.Percent)
-	return &percent
+	return proto.Int32(int32(s.Percent))
 }
 
-// decodeSpeed decodes a speed limit. One that is out of range is unknown.
-func decodeSpeed(percent *int32) job.Speed {
+// Speed decodes a speed limit. One that is out of range is unknown.
+func Speed(percent *int32) job.Speed {
 	if percent == nil || *percent < 0 || *percent > job.FullSpeed {
 		return job.Speed{}
 	}
@@ -63,7 +64,7 @@
 		out = append(out, job.Activity{
 			Run: run, Checkpoint: a.Checkpoint, Percent: int(a.Percent),
 			TailLatency: time.Duration(a.TailLatencyMs) * time.Millisecond, CPU: a.Cpu, Unconfirmed: a.Unconfirmed,
-			OrderedSpeed: decodeSpeed(a.OrderedSpeed), RunnerSpeed: decodeSpeed(a.RunnerSpeed),
+			OrderedSpeed: Speed(a.OrderedSpeed), RunnerSpeed: Speed(a.RunnerSpeed),
 		})
 	}
 	return out
