planner: orders to throttle are repeated until reports show them

Cause: the last order was taken for the speed in force. Orders were given on a change only, so one that was lost with its session, or forgotten by a restarted agent, was never given again, and a new leader took all runs for unthrottled. A task could stay over its target beside a run that the leader had stopped, and a run could stand still that it took for one at full speed. Change: a limit is ordered again when the agent enforces another one, when a new process of the agent knows none, and when the CPU in use exceeds it; each reason is counted. A new leader adopts the limit that the agent enforces, and a run that its agent paused does not count as stalled.

--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -34,6 +34,11 @@
 		metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_stops_ordered_total{reason=%q}", string(s.Reason))).Inc()
 	}
 	throttlesTotal.Add(len(o.Throttles))
+	for _, t := range o.Throttles {
+		if t.Reason != planner.ThrottleChanged {
+			metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_throttles_repeated_total{reason=%q}", string(t.Reason))).Inc()
+		}
+	}
 	deferralsTotal.Add(len(o.Deferrals))
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -65,7 +65,7 @@
 			conn.throttle(o)
 		}
 		r.opts.Logger.WithFields(log.Fields{
-			"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent, "percent": o.Percent,
+			"task": o.Run.Task.String(), "run": o.Run.Number, "agent": o.Agent, "percent": o.Percent, "reason": string(o.Reason),
 			"over_ms": o.OverTarget.Milliseconds(), "headroom": o.Headroom,
 		}).Info("throttle ordered")
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -35,6 +35,10 @@
 	speedLimit int
 	// speedLimitChangedAt is when speedLimit last changed; 0 if it never did.
 	speedLimitChangedAt time.Duration
+	// speedOrderedAt is when the speed limit was last ordered. speedUnknown is set while the agent's
+	// process, which is new, has no order for it.
+	speedOrderedAt time.Duration
+	speedUnknown   bool
 	// agentSpeed is the speed limit that the agent reports as ordered, runnerSpeed the one that
 	// it reports as confirmed. They and the run's figure were reported at reportedAt.
 	agentSpeed, runnerSpeed job.Speed
@@ -132,6 +136,11 @@
 	}
 	p.setRunner(a, r)
 	p.reconcileRuns(now, a, active, func(*run) bool { return true })
+	for _, act := range active {
+		if r := a.runs[act.Run]; r != nil {
+			r.speedUnknown = !act.OrderedSpeed.Known
+		}
+	}
 }
 
 // reconcileRuns compares the planner's runs on an agent with the runs that the agent
@@ -169,6 +178,9 @@
 	s, t := p.findTask(act.Run.Task)
 	if s != nil && !t.done && t.liveRun == nil && !s.job.state.Terminal() {
 		r := p.addRun(now, a, s, t, act.Run)
+		if limit := act.OrderedSpeed; limit.Known && limit.Percent != fullSpeed && s.step.BestEffort {
+			r.setSpeedLimit(now, limit.Percent)
+		}
 		p.applyActivity(now, r, act)
 		if s.step.Gang {
 			s.gangRunNumber = max(s.gangRunNumber, act.Run.Number)
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -143,7 +143,7 @@
 	}
 	limit := stallTimeout
 	if s.step.BestEffort {
-		if r.speedLimit < fullSpeed {
+		if r.speedLimit < fullSpeed || r.runnerSpeed.Known && r.runnerSpeed.Percent < fullSpeed {
 			return false
 		}
 		limit = bestEffortStallTimeout
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -257,7 +257,7 @@
 	f.now += throttleInterval
 	throttles := f.plan().Throttles
 	must.Len(t, 1, throttles)
-	test.Eq(t, Throttle{Agent: "a", Run: first.Run, Percent: fullSpeed}, throttles[0])
+	test.Eq(t, Throttle{Agent: "a", Run: first.Run, Percent: fullSpeed, Reason: ThrottleChanged}, throttles[0])
 }
 
 // Latency-critical tasks must be packed onto few runners, so that best-effort tasks find
--- a/internal/planner/pace.go
+++ b/internal/planner/throttle.go
@@ -28,6 +28,28 @@
 	throttleInterval = 250 * time.Millisecond
 	// minSpeedChange is the least change of a speed limit, in percent, that is worth an order.
 	minSpeedChange = 8
+	// orderAppliedAfter is the time after an order from which an agent's reports must hold it.
+	orderAppliedAfter = 400 * time.Millisecond
+	// orderEffectiveAfter is the time after an order from which the CPU in reports must show it:
+	// they cover half a second.
+	orderEffectiveAfter = 1200 * time.Millisecond
+	// speedTolerance is the share of a run's full CPU by which a report may exceed its limit.
+	speedTolerance = 0.25
+)
+
+// ThrottleReason is the reason for an order to throttle.
+type ThrottleReason string
+
+// The reasons for orders to throttle.
+const (
+	// ThrottleChanged: the limit has changed.
+	ThrottleChanged ThrottleReason = "changed"
+	// ThrottleUnknown: the agent does not know the run's limit, since its process is new.
+	ThrottleUnknown ThrottleReason = "unknown-to-agent"
+	// ThrottleNotApplied: the agent enforces another limit than the one ordered.
+	ThrottleNotApplied ThrottleReason = "not-applied"
+	// ThrottleNoEffect: the run uses more CPU than its limit allows.
+	ThrottleNoEffect ThrottleReason = "no-effect"
 )
 
 // initialSpeed is the speed limit with which a run of the step starts on the agent, in percent.
@@ -44,6 +66,7 @@
 	Run   job.Run
 	// Percent is the speed limit, in percent of the run's full speed.
 	Percent int
+	Reason  ThrottleReason
 	// OverTarget is the longest time for which a colocated latency-critical task has been
 	// over its target, Headroom the least headroom forecast for such a task without
 	// best-effort tasks. Both are for logging.
@@ -51,7 +74,7 @@
 	Headroom   float64
 }
 
-// throttles returns the orders for all best-effort runs whose speed limit changes.
+// throttles returns the orders for all best-effort runs whose speed limit changes or is not in force.
 func (p *Planner) throttles(now time.Duration) []Throttle {
 	var throttles []Throttle
 	for _, a := range p.orderedAgents {
@@ -61,18 +84,49 @@
 		a.throttleCheckedAt = now
 		limits, overTarget, headroom := p.computeSpeedLimits(now, a)
 		for _, limit := range limits {
-			change := limit.run.speedLimit - limit.percent
-			if change == 0 || max(change, -change) < minSpeedChange && limit.percent != fullSpeed && limit.percent != 0 {
+			r := limit.run
+			reason, ordered := r.throttleReason(limit.percent)
+			if !ordered {
 				continue
 			}
-			limit.run.setSpeedLimit(now, limit.percent)
-			a.bestEffortChanged(now, a.cpuShare(limit.run.step.step)*float64(change)/fullSpeed)
-			throttles = append(throttles, Throttle{Agent: a.id, Run: limit.run.id, Percent: limit.percent, OverTarget: overTarget, Headroom: headroom})
+			if change := r.speedLimit - limit.percent; change != 0 {
+				r.setSpeedLimit(now, limit.percent)
+				a.bestEffortChanged(now, a.cpuShare(r.step.step)*float64(change)/fullSpeed)
+			}
+			r.speedOrderedAt, r.speedUnknown = now, false
+			throttles = append(throttles, Throttle{
+				Agent: a.id, Run: r.id, Percent: limit.percent, Reason: reason, OverTarget: overTarget, Headroom: headroom,
+			})
 		}
 	}
 	return throttles
 }
 
+// throttleReason returns why a run that should have a speed limit needs an order. ordered is false if
+// it needs none. An order may be lost, or be carried out by a process that forgets it, so the limit
+// counts as in force only as far as reports show it.
+func (r *run) throttleReason(percent int) (reason ThrottleReason, ordered bool) {
+	change := r.speedLimit - percent
+	sinceOrder := r.reportedAt - r.speedOrderedAt
+	switch {
+	case max(change, -change) >= minSpeedChange, change != 0 && (percent == fullSpeed || percent == 0):
+		return ThrottleChanged, true
+	case r.speedUnknown:
+		return ThrottleUnknown, true
+	case sinceOrder >= orderAppliedAfter && r.agentSpeed.Known && r.agentSpeed.Percent != r.speedLimit:
+		return ThrottleNotApplied, true
+	case sinceOrder >= orderEffectiveAfter && r.exceedsSpeedLimit():
+		return ThrottleNoEffect, true
+	}
+	return "", false
+}
+
+// exceedsSpeedLimit reports whether the last report shows the run at more than its speed limit.
+func (r *run) exceedsSpeedLimit() bool {
+	share := float64(r.speedLimit)/fullSpeed + speedTolerance
+	return r.speedLimit < fullSpeed && float64(r.cpu) > share*float64(r.step.step.CPU)
+}
+
 // speedLimit is the speed limit that a run should have, in percent of its full speed.
 type speedLimit struct {
 	run     *run
