supervisor: the speed limit in force is what answers and reports show

Cause: the last answered call was taken for the limit in force, though calls of one run could be in flight together and take effect in another order, a call without an answer may be carried out seconds later (PROTOCOL), and a new process took the runs that it found for unthrottled and sent full speed at once. Change: one call at a time for each run, which sends the latest order; after a call without an answer, a restart of the runner, and for a run of an earlier process the limit in force is unknown; a run that uses more CPU than its limit allows, or none at all, has the call repeated. Nothing is sent for a run without an order. Failed calls and contradictions are counted.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -264,9 +264,9 @@
 		s.restarted = false
 		s.reportFullState()
 	}
-	if now := s.opts.Now(); now-s.throttleCheckedAt >= reportInterval {
-		s.throttleCheckedAt = now
-		s.throttleRuns(report.Active)
+	if now := s.opts.Now(); now-s.latenciesAppliedAt >= reportInterval {
+		s.latenciesAppliedAt = now
+		s.applyLatencies(report.Active)
 	}
 }
 
@@ -292,12 +292,15 @@
 	if r == nil {
 		// The run was started by an earlier process on this machine, or by a start request
 		// that arrived late.
-		r = &taskRun{details: RunDetails{Run: act.Run}, phase: running, speedLimit: fullSpeed}
+		r = &taskRun{details: RunDetails{Run: act.Run}, phase: running}
 		s.runs[act.Run] = r
 	}
 	if r.phase == starting {
 		r.phase = running
 	}
+	if r.detachedUntil != 0 {
+		r.speed.inForce = job.Speed{}
+	}
 	r.reportsNotListed, r.detachedUntil = 0, 0
 	r.reconciling = false
 	wasUnconfirmed := r.activity.Unconfirmed
@@ -312,6 +315,13 @@
 	}
 }
 
+// reported returns the activity of a run with its speed limits.
+func (r *taskRun) reported() job.Activity {
+	act := r.activity
+	act.OrderedSpeed, act.RunnerSpeed = r.speed.ordered, r.speed.inForce
+	return act
+}
+
 // maxReportsNotListed is the number of consecutive reports without a confirmed run after which
 // the run is dropped. A single report may be older than the confirmation of the start.
 const maxReportsNotListed = 3
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -238,6 +238,7 @@
 		if r.detachedUntil != 0 {
 			continue
 		}
+		r.speed.inForce = job.Speed{}
 		r.reconciling, r.reconcilingSince, r.notListedReason = r.phase != starting, now, runner.RefusedIncarnationEnded
 	}
 }
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -47,8 +47,13 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runner_reports_total{result=%q}", result)).Inc()
 }
 
-// speedExceeded counts reports of a best-effort run that exceeds its confirmed speed limit.
-var speedExceeded = metrics.NewCounter("bamboowood_runs_above_speed_limit_total")
+// throttleCallsFailed counts throttle calls without a confirmation.
+var throttleCallsFailed = metrics.NewCounter("bamboowood_throttle_calls_failed_total")
+
+// countSpeedContradicted counts reports whose CPU contradicts the speed limit in force.
+func countSpeedContradicted(how string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_speed_limits_contradicted_total{how=%q}", how)).Inc()
+}
 
 func countFailedRenewal(cause string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_lease_renewals_failed_total{cause=%q}", cause)).Inc()
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -30,10 +30,11 @@
 	if s.runs[run] != nil {
 		return
 	}
-	r := &taskRun{details: o.Details, speedLimit: fullSpeed, confirmedSpeedLimit: fullSpeed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
-	if o.Speed.Known {
-		r.speedLimit = o.Speed.Percent
+	speed := speedControl{ordered: o.Speed, inForce: job.SpeedOf(fullSpeed), confirmedAt: s.opts.Now()}
+	if !speed.ordered.Known {
+		speed.ordered = job.SpeedOf(fullSpeed)
 	}
+	r := &taskRun{details: o.Details, speed: speed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
 	if s.runner == nil || s.runner.Draining {
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
@@ -130,12 +131,13 @@
 	case refusal == "":
 		r.phase = running
 		r.activity.Unconfirmed = false
+		r.speed.confirmedAt = s.opts.Now()
 		s.update.Active = append(s.update.Active, r.reported())
 		s.signal(s.notify)
 		s.opts.Logger.WithFields(log.Fields{
 			"task": run.Task.String(), "run": run.Number, "runner": fence.RunnerID,
 		}).Info("run started")
-		s.throttleRun(run, r)
+		s.enforceSpeed(run, r)
 	case refusal == runner.RefusedFence:
 		s.raiseToken()
 		return false
--- /dev/null
+++ b/internal/supervisor/standalone.go
@@ -0,0 +1,74 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+)
+
+// Parameters of standalone throttling: while no leader is connected, the supervisor limits the
+// speed of best-effort runs by the tail latency of colocated latency-critical tasks. Speed
+// limits are in percent of the full speed.
+const (
+	// slowDownAbove is the share of a latency target above which best-effort runs are
+	// slowed down.
+	slowDownAbove = 0.9
+	// speedUpBelow is the share of a latency target below which best-effort runs speed up
+	// again.
+	speedUpBelow = 0.7
+	// slowDownFactor multiplies the speed limit at each report above slowDownAbove.
+	slowDownFactor = 0.5
+	// speedUpStep is added to the speed limit at each report below speedUpBelow.
+	speedUpStep = 10
+	// minSpeed is the lowest speed limit other than 0. A lower one pauses the runs.
+	minSpeed = 10
+)
+
+// speedController sets the speed limit of a runner's best-effort runs while no leader is
+// connected.
+type speedController struct{ percent int }
+
+func newSpeedController() speedController { return speedController{percent: fullSpeed} }
+
+// adjust updates the speed limit from the worst ratio of tail latency to target among the
+// latency-critical tasks, 0 if there are none. It reports whether the limit has changed.
+func (c *speedController) adjust(worst float64) bool {
+	before := c.percent
+	switch {
+	case worst == 0:
+		c.percent = fullSpeed
+	case worst > slowDownAbove:
+		c.percent = int(float64(c.percent) * slowDownFactor)
+		if c.percent < minSpeed {
+			c.percent = 0
+		}
+	case worst < speedUpBelow:
+		c.percent = min(c.percent+speedUpStep, fullSpeed)
+	}
+	return c.percent != before
+}
+
+// standaloneDelay is the time without a lease grant after which standalone throttling starts.
+const standaloneDelay = 1500 * time.Millisecond
+
+func (s *Supervisor) throttleStandalone(active []job.Activity) {
+	worst := 0.0
+	for _, act := range active {
+		if r := s.runs[act.Run]; r != nil && r.details.LatencyTarget > 0 {
+			worst = max(worst, float64(act.TailLatency)/float64(r.details.LatencyTarget))
+		}
+	}
+	if !s.speedController.adjust(worst) {
+		return
+	}
+	s.opts.Logger.WithFields(log.Fields{
+		"percent": s.speedController.percent, "worst_latency_ratio": worst,
+	}).Info("no leader connected; speed limit of best-effort runs changed")
+	for _, r := range s.runs {
+		if r.details.BestEffort {
+			r.speed.ordered = job.SpeedOf(s.speedController.percent)
+		}
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -98,11 +98,7 @@
 	reconciling      bool
 	reconcilingSince time.Duration
 	notListedReason  runner.Refusal
-	// speedLimit is the ordered speed limit, in percent of the run's full speed;
-	// confirmedSpeedLimit is the one that the runner has confirmed.
-	speedLimit, confirmedSpeedLimit int
-	// speedConfirmedAt is when confirmedSpeedLimit was confirmed.
-	speedConfirmedAt time.Duration
+	speed            speedControl
 	// reportedAt is when the run's progress was last put into an update.
 	reportedAt time.Duration
 	// sent is set once a call to start the run may have reached the runner.
@@ -177,8 +173,8 @@
 	// cancelRenewal cancels the lease renewal in progress.
 	cancelRenewal context.CancelFunc
 
-	speedController   speedController
-	throttleCheckedAt time.Duration
+	speedController    speedController
+	latenciesAppliedAt time.Duration
 	// lastGrantAt is when the leader last granted a lease.
 	lastGrantAt time.Duration
 	update      Update
--- /dev/null
+++ b/internal/supervisor/throttle.go
@@ -0,0 +1,154 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"bamboowood/internal/job"
+)
+
+// fullSpeed leaves a run unthrottled, in percent.
+const fullSpeed = job.FullSpeed
+
+const (
+	// throttleAttempts is how often a call to set a speed limit is sent while it gets no answer,
+	// throttleRetryPause the pause in between. Later reports repeat it.
+	throttleAttempts   = 3
+	throttleRetryPause = 50 * time.Millisecond
+	// speedSettleTime is the time from the confirmation of a speed limit until reports cover
+	// only its effect: their figures are of the last half second.
+	speedSettleTime = 700 * time.Millisecond
+	// standstillTime is the same for a run that uses no CPU at all, which may also have none left.
+	standstillTime = 1500 * time.Millisecond
+	// speedTolerance is the share of a run's full CPU by which a report may exceed its limit.
+	speedTolerance = 0.2
+)
+
+// speedControl is the control of one run's speed limit. The runner may carry out a call that got no
+// answer, and may do so after later ones, so the limit in force counts as known only as far as
+// answers and reports show it.
+type speedControl struct {
+	// ordered is the limit that the leader or standalone throttling has ordered; unknown until then
+	// for a run that this process did not start.
+	ordered job.Speed
+	// inForce is the limit that the runner confirmed at confirmedAt; unknown after a call without
+	// an answer.
+	inForce     job.Speed
+	confirmedAt time.Duration
+	// calling is set while calls are being sent. There is at most one at a time for each run,
+	// because the order in which calls in flight take effect is not known.
+	calling bool
+}
+
+// Throttle orders the speed limit of a best-effort run, in percent of its full speed.
+func (s *Supervisor) Throttle(run job.Run, percent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[run]; r != nil {
+		r.details.BestEffort = true
+		r.speed.ordered = job.SpeedOf(percent)
+		s.enforceSpeed(run, r)
+	}
+}
+
+// wantedSpeed returns the speed limit that a run should have; unknown if nobody has ordered one.
+func (s *Supervisor) wantedSpeed(r *taskRun) job.Speed {
+	return r.speed.ordered
+}
+
+// applyLatencies adjusts the speed limits to the latest latencies while no leader is connected, and
+// enforces all speed limits anew.
+func (s *Supervisor) applyLatencies(active []job.Activity) {
+	now := s.opts.Now()
+	if now-s.lastGrantAt > standaloneDelay {
+		s.throttleStandalone(active)
+	}
+	for _, act := range active {
+		if r := s.runs[act.Run]; r != nil {
+			s.checkSpeed(act.Run, r)
+			s.enforceSpeed(act.Run, r)
+		}
+	}
+}
+
+// checkSpeed marks the speed limit in force as unknown if the last report contradicts it.
+func (s *Supervisor) checkSpeed(run job.Run, r *taskRun) {
+	inForce, sinceConfirmed := r.speed.inForce, s.opts.Now()-r.speed.confirmedAt
+	if !inForce.Known || r.speed.calling || !r.details.BestEffort || r.details.CPU <= 0 || sinceConfirmed < speedSettleTime {
+		return
+	}
+	allowed := (float64(inForce.Percent)/fullSpeed + speedTolerance) * float64(r.details.CPU)
+	switch {
+	case float64(r.activity.CPU) > allowed:
+		countSpeedContradicted("above-limit")
+	case inForce.Percent > 0 && r.activity.CPU == 0 && sinceConfirmed >= standstillTime:
+		countSpeedContradicted("standstill")
+	default:
+		return
+	}
+	s.opts.Logger.WithFields(log.Fields{
+		"task": run.Task.String(), "run": run.Number, "cpu": r.activity.CPU, "cpu_of": r.details.CPU,
+		"percent": inForce.Percent, "confirmed_ms": sinceConfirmed.Milliseconds(),
+	}).Warn("CPU of run contradicts its speed limit; repeating the call")
+	r.speed.inForce = job.Speed{}
+}
+
+// enforceSpeed makes the runner limit a run to its wanted speed, unless that is in force.
+func (s *Supervisor) enforceSpeed(run job.Run, r *taskRun) {
+	if r.speed.calling || !s.needsThrottleCall(r) {
+		return
+	}
+	r.speed.calling = true
+	s.calls.Go(func() {
+		for range throttleAttempts {
+			if s.throttleOnce(run, r) {
+				break
+			}
+			select {
+			case <-s.throttling.Done():
+			case <-time.After(throttleRetryPause):
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		r.speed.calling = false
+	})
+}
+
+func (s *Supervisor) needsThrottleCall(r *taskRun) bool {
+	wanted := s.wantedSpeed(r)
+	return s.runner != nil && r.phase == running && r.detachedUntil == 0 && !r.activity.Unconfirmed &&
+		wanted.Known && wanted != r.speed.inForce
+}
+
+// throttleOnce sends one call to limit a run to its wanted speed, unless that is in force, and reports
+// whether no further one is needed.
+func (s *Supervisor) throttleOnce(run job.Run, r *taskRun) (done bool) {
+	s.callSlots <- struct{}{}
+	defer func() { <-s.callSlots }()
+	s.mu.Lock()
+	fence, _ := s.fence()
+	percent := s.wantedSpeed(r).Percent
+	needed := s.throttling.Err() == nil && s.runs[run] == r && s.needsThrottleCall(r)
+	s.mu.Unlock()
+	if !needed {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(s.throttling, orderTimeout)
+	defer cancel()
+	err := s.opts.Runner.Throttle(ctx, fence, run, percent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		r.speed.inForce = job.Speed{}
+		throttleCallsFailed.Inc()
+		s.opts.Logger.WithError(err).WithFields(log.Fields{
+			"task": run.Task.String(), "run": run.Number, "percent": percent,
+		}).Warn("throttle call failed")
+		return false
+	}
+	r.speed.inForce, r.speed.confirmedAt = job.SpeedOf(percent), s.opts.Now()
+	return !s.needsThrottleCall(r)
+}
