supervisor: standalone throttling caps the leader's limits instead of replacing them

Cause: an agent that lost its leader set all best-effort runs to one percentage of its own, which raised those that the leader had stopped, and the returning leader took its own last orders for the limits in force. Change: the percentage is a cap on the leader's limits, and ends when leases come again. A run whose limit nobody has ordered to this process is stopped with the others and never raised.

--- a/internal/supervisor/standalone.go
+++ b/internal/supervisor/standalone.go
@@ -8,9 +8,9 @@
 	"bamboowood/internal/job"
 )
 
-// Parameters of standalone throttling: while no leader is connected, the supervisor limits the
-// speed of best-effort runs by the tail latency of colocated latency-critical tasks. Speed
-// limits are in percent of the full speed.
+// Parameters of standalone throttling: while no leader is connected, the supervisor caps the
+// speed of best-effort runs by the tail latency of colocated latency-critical tasks. The leader's
+// last limits stay in force below the cap. Speeds are in percent of the full speed.
 const (
 	// slowDownAbove is the share of a latency target above which best-effort runs are
 	// slowed down.
@@ -18,22 +18,21 @@
 	// speedUpBelow is the share of a latency target below which best-effort runs speed up
 	// again.
 	speedUpBelow = 0.7
-	// slowDownFactor multiplies the speed limit at each report above slowDownAbove.
+	// slowDownFactor multiplies the cap at each report above slowDownAbove.
 	slowDownFactor = 0.5
-	// speedUpStep is added to the speed limit at each report below speedUpBelow.
+	// speedUpStep is added to the cap at each report below speedUpBelow.
 	speedUpStep = 10
-	// minSpeed is the lowest speed limit other than 0. A lower one pauses the runs.
+	// minSpeed is the lowest cap other than 0. A lower one pauses the runs.
 	minSpeed = 10
 )
 
-// speedController sets the speed limit of a runner's best-effort runs while no leader is
-// connected.
+// speedController caps the speed of a runner's best-effort runs while no leader is connected.
 type speedController struct{ percent int }
 
 func newSpeedController() speedController { return speedController{percent: fullSpeed} }
 
-// adjust updates the speed limit from the worst ratio of tail latency to target among the
-// latency-critical tasks, 0 if there are none. It reports whether the limit has changed.
+// adjust updates the cap from the worst ratio of tail latency to target among the
+// latency-critical tasks, 0 if there are none. It reports whether the cap has changed.
 func (c *speedController) adjust(worst float64) bool {
 	before := c.percent
 	switch {
@@ -53,22 +52,22 @@
 // standaloneDelay is the time without a lease grant after which standalone throttling starts.
 const standaloneDelay = 1500 * time.Millisecond
 
-func (s *Supervisor) throttleStandalone(active []job.Activity) {
+// capSpeed adjusts the cap to the latest latencies while no leader is connected, and removes it
+// otherwise.
+func (s *Supervisor) capSpeed(active []job.Activity) {
+	if s.opts.Now()-s.lastGrantAt <= standaloneDelay {
+		s.speedController = newSpeedController()
+		return
+	}
 	worst := 0.0
 	for _, act := range active {
 		if r := s.runs[act.Run]; r != nil && r.details.LatencyTarget > 0 {
 			worst = max(worst, float64(act.TailLatency)/float64(r.details.LatencyTarget))
 		}
 	}
-	if !s.speedController.adjust(worst) {
-		return
-	}
-	s.opts.Logger.WithFields(log.Fields{
-		"percent": s.speedController.percent, "worst_latency_ratio": worst,
-	}).Info("no leader connected; speed limit of best-effort runs changed")
-	for _, r := range s.runs {
-		if r.details.BestEffort {
-			r.speed.ordered = job.SpeedOf(s.speedController.percent)
-		}
+	if s.speedController.adjust(worst) {
+		s.opts.Logger.WithFields(log.Fields{
+			"percent": s.speedController.percent, "worst_latency_ratio": worst,
+		}).Info("no leader connected; cap on the speed of best-effort runs changed")
 	}
 }
--- a/internal/supervisor/throttle.go
+++ b/internal/supervisor/throttle.go
@@ -34,8 +34,8 @@
 // answer, and may do so after later ones, so the limit in force counts as known only as far as
 // answers and reports show it.
 type speedControl struct {
-	// ordered is the limit that the leader or standalone throttling has ordered; unknown until then
-	// for a run that this process did not start.
+	// ordered is the limit that the leader has ordered; unknown until then for a run that this
+	// process did not start.
 	ordered job.Speed
 	// inForce is the limit that the runner confirmed at confirmedAt; unknown after a call without
 	// an answer.
@@ -59,10 +59,17 @@
 
 // wantedSpeed returns the speed limit that a run should have; unknown if nobody has ordered one.
 func (s *Supervisor) wantedSpeed(r *taskRun) job.Speed {
-	if s.paused && r.details.BestEffort {
+	highest := s.speedController.percent
+	switch {
+	case !r.details.BestEffort:
+		return r.speed.ordered
+	case s.paused || highest == 0:
 		return job.SpeedOf(0)
+	case !r.speed.ordered.Known:
+		// A cap could raise the limit of an earlier process.
+		return job.Speed{}
 	}
-	return r.speed.ordered
+	return job.SpeedOf(min(r.speed.ordered.Percent, highest))
 }
 
 // applyLatencies updates the time for which latency-critical runs have been over their target, pauses or
@@ -77,9 +84,7 @@
 		}
 	}
 	s.setPaused(longest > pauseAfter, longest)
-	if now-s.lastGrantAt > standaloneDelay {
-		s.throttleStandalone(active)
-	}
+	s.capSpeed(active)
 	for _, act := range active {
 		if r := s.runs[act.Run]; r != nil {
 			s.checkSpeed(act.Run, r)
