leader, supervisor: agents ask for the details of runs that they do not know

Now a report says that they are lacking, and the leader sends them until it does not; a run that it adopts from such a report gets an explicit speed limit as well.

--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -63,6 +63,8 @@
 	// OrderedSpeed is the speed limit that the agent has been ordered to enforce, RunnerSpeed
 	// the one that the runner has confirmed. Only agents set them.
 	OrderedSpeed, RunnerSpeed Speed
+	// DetailsUnknown is set while the agent does not know what kind of task the run is of.
+	DetailsUnknown bool
 }
 
 // FullSpeed is the speed limit of a run that is not throttled, in percent.
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -29,6 +29,8 @@
 	sessions             []wire.Session
 	// laterTerm, unless 0, is the term that it claims to have seen.
 	laterTerm int64
+	// updated are the runs whose activity the next message reports.
+	updated []*wirepb.RunActivity
 }
 
 // closeSessions closes all sessions, so that the leader has to reconnect.
@@ -105,6 +107,7 @@
 		for ctx.Err() == nil && stream.Send(m) == nil {
 			m = &wirepb.AgentMessage{}
 			time.Sleep(50 * time.Millisecond)
+			a.set(func() { m.Active, a.updated = a.updated, nil })
 			m.Beat = int64(boottime.Now())
 		}
 	}()
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -202,7 +202,7 @@
 		r.planner.RunsUnlistedUntil(c.id, 0)
 	}
 	r.planner.AgentConnected(now, c.id, runner, active)
-	c.sendDetails(active)
+	c.sendDetails(active, func(job.Activity) bool { return true })
 	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "unknown_agents": r.planner.UnreportedAgents()}
 	if runner != nil {
 		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
@@ -211,17 +211,14 @@
 	r.signalChange()
 }
 
-// sendDetails sends the agent the details of its active runs, which it lacks for runs that it
-// did not start.
-func (c *agentConn) sendDetails(active []job.Activity) {
+// sendDetails sends the agent the details of those active runs for which lacking returns true: it
+// lacks them for runs that an earlier process started.
+func (c *agentConn) sendDetails(active []job.Activity, lacking func(job.Activity) bool) {
 	for _, act := range active {
-		if step := c.leadership.planner.Step(act.Run.Task); step != nil {
-			c.outMu.Lock()
-			c.out.Details = append(c.out.Details, runDetails(act.Run, step))
-			c.outMu.Unlock()
+		if step := c.leadership.planner.Step(act.Run.Task); step != nil && lacking(act) {
+			c.send(func(out *wirepb.LeaderMessage) { out.Details = append(out.Details, runDetails(act.Run, step)) })
 		}
 	}
-	signal(c.outPending)
 }
 
 func runDetails(run job.Run, step *job.Step) *wirepb.RunDetails {
@@ -355,7 +352,9 @@
 		r.planner.StartRefused(now, c.id, run, planner.RefusalReason(refusal.Reason))
 	}
 	if len(m.Active) > 0 {
-		r.planner.ActivityReported(now, c.id, wire.Activities(m.Active))
+		active := wire.Activities(m.Active)
+		r.planner.ActivityReported(now, c.id, active)
+		c.sendDetails(active, func(act job.Activity) bool { return act.DetailsUnknown })
 	}
 	if hasStateChange(m) {
 		r.signalChange()
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -178,6 +178,7 @@
 	s, t := p.findTask(act.Run.Task)
 	if s != nil && !t.done && t.liveRun == nil && !s.job.state.Terminal() {
 		r := p.addRun(now, a, s, t, act.Run)
+		r.speedUnknown = !act.OrderedSpeed.Known
 		if limit := act.OrderedSpeed; limit.Known && limit.Percent != fullSpeed && s.step.BestEffort {
 			r.setSpeedLimit(now, limit.Percent)
 		}
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -319,6 +319,7 @@
 func (r *taskRun) reported() job.Activity {
 	act := r.activity
 	act.OrderedSpeed, act.RunnerSpeed = r.speed.ordered, r.speed.inForce
+	act.DetailsUnknown = !r.detailsKnown
 	return act
 }
 
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -34,7 +34,7 @@
 	if !speed.ordered.Known {
 		speed.ordered = job.SpeedOf(fullSpeed)
 	}
-	r := &taskRun{details: o.Details, speed: speed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
+	r := &taskRun{details: o.Details, detailsKnown: true, speed: speed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
 	if s.runner == nil || s.runner.Draining {
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -90,9 +90,11 @@
 )
 
 type taskRun struct {
-	details  RunDetails
-	phase    phase
-	activity job.Activity
+	details RunDetails
+	// detailsKnown is not set for a run of an earlier process until the leader has sent its details.
+	detailsKnown bool
+	phase        phase
+	activity     job.Activity
 	// reconciling marks a run that is alive only if the next report lists it. Only the
 	// report of a call sent after reconcilingSince counts. notListedReason is the reason that
 	// the leader receives if the run is not listed.
@@ -283,7 +285,7 @@
 	defer s.mu.Unlock()
 	for _, d := range all {
 		if r := s.runs[d.Run]; r != nil {
-			r.details = d
+			r.details, r.detailsKnown = d, true
 		}
 	}
 }
--- a/internal/supervisor/throttle_test.go
+++ b/internal/supervisor/throttle_test.go
@@ -167,3 +167,20 @@
 		test.Eq(t, fullSpeed, h.fake.speedOf(late))
 	})
 }
+
+// Guards against HARM: an agent neither paused nor protected runs whose kind its leader had not told it.
+func TestSupervisor_AsksForDetails(t *testing.T) {
+	run := taskRunOf(2)
+	prepare := func(f *fakeRunner) { f.active = []job.Activity{{Run: run}} }
+	runTest(t, prepare, func(h *harness) {
+		h.reportRunner("a", 1)
+		for _, unknown := range []bool{true, true, false} {
+			if !unknown {
+				h.SetDetails([]RunDetails{{Run: run, BestEffort: true, CPU: testFullCPU}})
+			}
+			u := h.collectUpdates(time.Second)
+			must.SliceNotEmpty(t, u.Active)
+			test.Eq(t, unknown, u.Active[len(u.Active)-1].DetailsUnknown)
+		}
+	})
+}
--- a/internal/wire/schedule.go
+++ b/internal/wire/schedule.go
@@ -34,6 +34,7 @@
 		Run: RunRef(a.Run), Checkpoint: a.Checkpoint, Percent: int32(a.Percent),
 		TailLatencyMs: a.TailLatency.Milliseconds(), Cpu: a.CPU, Unconfirmed: a.Unconfirmed,
 		OrderedSpeed: encodeSpeed(a.OrderedSpeed), RunnerSpeed: encodeSpeed(a.RunnerSpeed),
+		DetailsUnknown: a.DetailsUnknown,
 	}
 }
 
@@ -65,6 +66,7 @@
 			Run: run, Checkpoint: a.Checkpoint, Percent: int(a.Percent),
 			TailLatency: time.Duration(a.TailLatencyMs) * time.Millisecond, CPU: a.Cpu, Unconfirmed: a.Unconfirmed,
 			OrderedSpeed: Speed(a.OrderedSpeed), RunnerSpeed: Speed(a.RunnerSpeed),
+			DetailsUnknown: a.DetailsUnknown,
 		})
 	}
 	return out
