--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -7,7 +7,8 @@
 	// clearShare is the share of the target up to which one measurement shows that the task is
 	// below its target. Measurements differ by up to a tenth from the true latency.
 	clearShare = 0.91
-	// belowTime is the time after which measurements between clearShare and the target show the same.
+	// belowTime is the time after which measurements between clearShare and the target, or without a
+	// figure, show the same.
 	belowTime = 1500 * time.Millisecond
 )
 
@@ -22,19 +23,16 @@
 	belowSince time.Duration
 }
 
-// Observe adds a measurement of the tail latency at the time now. A latency or target of 0 or less
-// is none.
+// Observe adds a measurement of the tail latency at the time now; a latency of 0 or less is a
+// measurement without a figure.
 func (w *Watch) Observe(now, tail, target time.Duration) {
-	if tail <= 0 || target <= 0 {
-		return
-	}
 	switch {
 	case tail >= target:
 		w.belowSince = 0
 		if w.overSince == 0 {
 			w.overSince = now
 		}
-	case float64(tail) <= clearShare*float64(target):
+	case tail > 0 && float64(tail) <= clearShare*float64(target):
 		w.belowSince, w.overSince = now, 0
 	default:
 		if w.belowSince == 0 {
--- a/internal/latency/latency_test.go
+++ b/internal/latency/latency_test.go
@@ -26,6 +26,7 @@
 		"clearly below":               {[]int64{80, 120, 120, 90}, 0},
 		"over again":                  {[]int64{120, 120, 90, 110, 110}, 300 * ms},
 		"no figure":                   {[]int64{80, 120, 0, 0}, 600 * ms},
+		"no figure for 1.5 s":         {[]int64{80, 120, 0, 0, 0, 0, 0, 0}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var w latency.Watch
--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -37,12 +37,15 @@
 	sums := map[*stepState]sum{}
 	for _, act := range active {
 		r := a.runs[act.Run]
-		if r == nil || r.step.step.LatencyTarget <= 0 || act.TailLatency <= 0 || r.step.job.state.Terminal() {
+		if r == nil || r.step.step.LatencyTarget <= 0 || r.step.job.state.Terminal() {
 			continue
 		}
-		headroom := float64(r.step.step.LatencyTarget) / float64(act.TailLatency)
 		r.tailLatency = act.TailLatency
 		r.latency.Observe(now, act.TailLatency, r.step.step.LatencyTarget)
+		if act.TailLatency <= 0 {
+			continue
+		}
+		headroom := float64(r.step.step.LatencyTarget) / float64(act.TailLatency)
 		s := sums[r.step]
 		sums[r.step] = sum{s.headroom + headroom, s.tasks + 1}
 	}
--- a/internal/supervisor/throttle.go
+++ b/internal/supervisor/throttle.go
@@ -78,7 +78,7 @@
 	now := s.opts.Now()
 	longest := time.Duration(0)
 	for _, act := range active {
-		if r := s.runs[act.Run]; r != nil {
+		if r := s.runs[act.Run]; r != nil && r.details.LatencyTarget > 0 {
 			r.latency.Observe(now, act.TailLatency, r.details.LatencyTarget)
 			longest = max(longest, r.latency.Over(now))
 		}
