--- a/internal/supervisor/standalone.go
+++ b/internal/supervisor/standalone.go
@@ -26,14 +26,14 @@
 	minSpeed = 10
 )
 
-// speedController caps the speed of a runner's best-effort runs while no leader is connected.
-type speedController struct{ percent int }
+// standaloneCap caps the speed of a runner's best-effort runs while no leader is connected.
+type standaloneCap struct{ percent int }
 
-func newSpeedController() speedController { return speedController{percent: fullSpeed} }
+func newStandaloneCap() standaloneCap { return standaloneCap{percent: fullSpeed} }
 
 // adjust updates the cap from the worst ratio of tail latency to target among the
 // latency-critical tasks, 0 if there are none. It reports whether the cap has changed.
-func (c *speedController) adjust(worst float64) bool {
+func (c *standaloneCap) adjust(worst float64) bool {
 	before := c.percent
 	switch {
 	case worst == 0:
@@ -56,7 +56,7 @@
 // otherwise.
 func (s *Supervisor) capSpeed(active []job.Activity) {
 	if s.opts.Now()-s.lastGrantAt <= standaloneDelay {
-		s.speedController = newSpeedController()
+		s.standaloneCap = newStandaloneCap()
 		return
 	}
 	worst := 0.0
@@ -65,9 +65,9 @@
 			worst = max(worst, float64(act.TailLatency)/float64(r.details.LatencyTarget))
 		}
 	}
-	if s.speedController.adjust(worst) {
+	if s.standaloneCap.adjust(worst) {
 		s.opts.Logger.WithFields(log.Fields{
-			"percent": s.speedController.percent, "worst_latency_ratio": worst,
+			"percent": s.standaloneCap.percent, "worst_latency_ratio": worst,
 		}).Info("no leader connected; cap on the speed of best-effort runs changed")
 	}
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -181,7 +181,7 @@
 	// paused is set while a latency-critical run has been over its target for too long. Best-effort runs
 	// have speed 0 then.
 	paused             bool
-	speedController    speedController
+	standaloneCap      standaloneCap
 	latenciesAppliedAt time.Duration
 	// lastGrantAt is when the leader last granted a lease.
 	lastGrantAt time.Duration
@@ -218,7 +218,7 @@
 		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
-		speedController: newSpeedController(),
+		standaloneCap: newStandaloneCap(),
 	}
 }
 
--- a/internal/supervisor/throttle.go
+++ b/internal/supervisor/throttle.go
@@ -59,7 +59,7 @@
 
 // wantedSpeed returns the speed limit that a run should have; unknown if nobody has ordered one.
 func (s *Supervisor) wantedSpeed(r *taskRun) job.Speed {
-	highest := s.speedController.percent
+	highest := s.standaloneCap.percent
 	switch {
 	case !r.details.BestEffort:
 		return r.speed.ordered
