--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -80,6 +80,15 @@
 // SpeedOf returns a known speed limit.
 func SpeedOf(percent int) Speed { return Speed{Percent: percent, Known: true} }
 
+// speedTolerance is the share of a run's full CPU by which a report may exceed its speed limit: reports
+// are rough.
+const speedTolerance = 0.2
+
+// Exceeded reports whether a run that uses cpu, of fullCPU at full speed, is above the limit.
+func (s Speed) Exceeded(cpu, fullCPU int64) bool {
+	return s.Known && float64(cpu) > (float64(s.Percent)/FullSpeed+speedTolerance)*float64(fullCPU)
+}
+
 // String returns the limit in percent, "unknown" if it is unknown.
 func (s Speed) String() string {
 	if !s.Known {
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -202,7 +203,7 @@
 		r.planner.RunsUnlistedUntil(c.id, 0)
 	}
 	r.planner.AgentConnected(now, c.id, runner, active)
-	c.sendDetails(active, func(job.Activity) bool { return true })
+	c.sendDetails(active)
 	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "unknown_agents": r.planner.UnreportedAgents()}
 	if runner != nil {
 		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
@@ -211,11 +212,11 @@
 	r.signalChange()
 }
 
-// sendDetails sends the agent the details of those active runs for which lacking returns true: it
-// lacks them for runs that an earlier process started.
-func (c *agentConn) sendDetails(active []job.Activity, lacking func(job.Activity) bool) {
+// sendDetails sends the agent the details of active runs, which it lacks for runs that an earlier
+// process started.
+func (c *agentConn) sendDetails(active []job.Activity) {
 	for _, act := range active {
-		if step := c.leadership.planner.Step(act.Run.Task); step != nil && lacking(act) {
+		if step := c.leadership.planner.Step(act.Run.Task); step != nil {
 			c.send(func(out *wirepb.LeaderMessage) { out.Details = append(out.Details, runDetails(act.Run, step)) })
 		}
 	}
@@ -354,7 +355,7 @@
 	if len(m.Active) > 0 {
 		active := wire.Activities(m.Active)
 		r.planner.ActivityReported(now, c.id, active)
-		c.sendDetails(active, func(act job.Activity) bool { return act.DetailsUnknown })
+		c.sendDetails(slices.DeleteFunc(active, func(act job.Activity) bool { return !act.DetailsUnknown }))
 	}
 	if hasStateChange(m) {
 		r.signalChange()
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -84,11 +84,6 @@
 	}
 	p.setRunner(a, r)
 	p.reconcileRuns(now, a, active, func(*run) bool { return true })
-	for _, act := range active {
-		if r := a.runs[act.Run]; r != nil {
-			r.speedUnknown = !act.OrderedSpeed.Known
-		}
-	}
 }
 
 // reconcileRuns compares the planner's runs on an agent with the runs that the agent
@@ -115,7 +110,7 @@
 // adopted if its task needs one, and stopped otherwise.
 func (p *Planner) applyReportedRun(now time.Duration, a *agent, act job.Activity) {
 	if r := a.runs[act.Run]; r != nil {
-		r.detachedUntil = 0
+		r.detachedUntil, r.speedUnknown = 0, !act.OrderedSpeed.Known
 		if r.phase == stopping {
 			p.stops = append(p.stops, Stop{Agent: a.id, Run: r.id, Reason: r.stopReason, Repeated: true})
 		}
--- a/internal/planner/throttle.go
+++ b/internal/planner/throttle.go
@@ -12,7 +12,7 @@
 // latency target.
 const (
 	// fullSpeed is a run's full speed, in percent.
-	fullSpeed = 100
+	fullSpeed = job.FullSpeed
 	// headroomGoal is the headroom, target / tail latency, that best-effort tasks must
 	// leave; the part above 1 allows for forecast errors.
 	headroomGoal = 1.1
@@ -33,8 +33,6 @@
 	// orderEffectiveAfter is the time after an order from which the CPU in reports must show it:
 	// they cover half a second.
 	orderEffectiveAfter = 1200 * time.Millisecond
-	// speedTolerance is the share of a run's full CPU by which a report may exceed its limit.
-	speedTolerance = 0.25
 )
 
 // ThrottleReason is the reason for an order to throttle.
@@ -123,8 +121,7 @@
 
 // exceedsSpeedLimit reports whether the last report shows the run at more than its speed limit.
 func (r *run) exceedsSpeedLimit() bool {
-	share := float64(r.speedLimit)/fullSpeed + speedTolerance
-	return r.speedLimit < fullSpeed && float64(r.cpu) > share*float64(r.step.step.CPU)
+	return r.speedLimit < fullSpeed && job.SpeedOf(r.speedLimit).Exceeded(r.cpu, r.step.step.CPU)
 }
 
 // speedLimit is the speed limit that a run should have, in percent of its full speed.
@@ -147,15 +144,14 @@
 	if len(limits) == 0 {
 		return nil, 0, 0
 	}
+	overTarget = a.longestOverTarget(now)
 	for i, s := range a.criticalSteps() {
 		headroom := p.headroom(now, s)
 		if i == 0 || headroom < minHeadroom {
 			minHeadroom = headroom
 		}
-		stepOverTarget := a.timeOverTarget(now, s)
-		overTarget = max(overTarget, stepOverTarget)
 		switch {
-		case stepOverTarget > maxTimeOverTarget:
+		case overTarget > maxTimeOverTarget:
 			p.lowerSpeedLimits(a, s.step.Image, limits, 0)
 		case p.interference.TargetUnattainable(s.job.job.ID, now+forecastHorizon):
 		default:
@@ -175,18 +171,6 @@
 	return longest
 }
 
-// timeOverTarget is the longest time for which a run of the step on the agent has been
-// over its latency target.
-func (a *agent) timeOverTarget(now time.Duration, s *stepState) time.Duration {
-	longest := time.Duration(0)
-	for _, r := range a.runs {
-		if r.step == s {
-			longest = max(longest, r.latency.Over(now))
-		}
-	}
-	return longest
-}
-
 // lowerSpeedLimits lowers speed limits, starting with the highest pressure on a
 // latency-critical image, until the sum of pressure x CPU share x speed limit is at most
 // allowed. If allowed is 0, all speed limits become 0.
--- a/internal/supervisor/throttle.go
+++ b/internal/supervisor/throttle.go
@@ -22,8 +22,6 @@
 	speedSettleTime = 700 * time.Millisecond
 	// standstillTime is the same for a run that uses no CPU at all, which may also have none left.
 	standstillTime = 1500 * time.Millisecond
-	// speedTolerance is the share of a run's full CPU by which a report may exceed its limit.
-	speedTolerance = 0.2
 	// pauseAfter is how long a latency-critical run may be over its target before the best-effort
 	// runs beside it are paused, whatever the leader orders. The leader's own bound is shorter;
 	// the users allow 4 s (harmMs).
@@ -113,9 +111,8 @@
 	if !inForce.Known || r.speed.calling || !r.details.BestEffort || r.details.CPU <= 0 || sinceConfirmed < speedSettleTime {
 		return
 	}
-	allowed := (float64(inForce.Percent)/fullSpeed + speedTolerance) * float64(r.details.CPU)
 	switch {
-	case float64(r.activity.CPU) > allowed:
+	case inForce.Exceeded(r.activity.CPU, r.details.CPU):
 		countSpeedContradicted("above-limit")
 	case inForce.Percent > 0 && r.activity.CPU == 0 && sinceConfirmed >= standstillTime:
 		countSpeedContradicted("standstill")
