planner: durations learned by queue and image correct estimates

Cause: one factor for each queue corrects all estimates, although images of one queue err differently, and a draining runner keeps a run whose estimate has passed although it is in the tail of the durations.

Change: with Options.LearnedDurations (on in entries) a step's expected duration is its estimate times the median learned for its queue and image; with fewer than 6 finished steps it is corrected as before. A run on a draining runner is judged by its progress since its start was confirmed, else by the mean remaining time of a run of its age. The stall detection is left as it is: it depends on reported progress only.

--- a/internal/forecast/durations.go
+++ b/internal/forecast/durations.go
@@ -98,13 +98,13 @@
 // minPercent is the progress from which extrapolating it is more accurate than an estimate.
 const minPercent = 5
 
-// RemainingByProgress extrapolates the progress of a task that has reached percent after elapsed. ok is
-// false if the progress is too small.
-func RemainingByProgress(elapsed time.Duration, percent int) (left time.Duration, ok bool) {
-	if percent < minPercent {
+// RemainingByProgress extrapolates the progress of a task from one percentage to another within elapsed.
+// ok is false if the progress is too small.
+func RemainingByProgress(elapsed time.Duration, from, percent int) (left time.Duration, ok bool) {
+	if percent-from < minPercent {
 		return 0, false
 	}
-	return elapsed * time.Duration(max(100-percent, 0)) / time.Duration(percent), true
+	return elapsed * time.Duration(max(100-percent, 0)) / time.Duration(percent-from), true
 }
 
 // maxScaled bounds results, so that sums of them do not overflow.
--- a/internal/forecast/durations_test.go
+++ b/internal/forecast/durations_test.go
@@ -108,12 +108,15 @@
 	})
 }
 
+// A run that resumed from a checkpoint must not be extrapolated as if it had done all in its own time.
 func TestRemainingByProgress(t *testing.T) {
-	_, ok := RemainingByProgress(time.Second, 4)
-	test.False(t, ok)
-	left, ok := RemainingByProgress(2*time.Second, 40)
-	test.True(t, ok)
-	test.Eq(t, 3*time.Second, left)
-	left, _ = RemainingByProgress(2*time.Second, 120)
-	test.Eq(t, 0, left)
+	for _, c := range []struct {
+		from, percent int
+		left          time.Duration
+		ok            bool
+	}{{0, 4, 0, false}, {0, 40, 3 * time.Second, true}, {60, 64, 0, false}, {60, 80, 2 * time.Second, true}, {0, 120, 0, true}} {
+		left, ok := RemainingByProgress(2*time.Second, c.from, c.percent)
+		test.Eq(t, c.ok, ok)
+		test.Eq(t, c.left, left)
+	}
 }
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -35,9 +35,6 @@
 	// drainMargin is the tolerance by which the expected end of a run may lie after the
 	// end of its draining runner.
 	drainMargin = 500 * time.Millisecond
-	// minExtrapolationPercent is the progress from which on extrapolating a run's progress
-	// is more accurate than its estimate.
-	minExtrapolationPercent = 5
 )
 
 // health holds a runner's recent failures, its ejection and its backoff.
@@ -118,7 +115,7 @@
 				r.stalled = true
 				p.stats.Stalls++
 				p.stopRun(r, StopStalled)
-			} else if a.runner.Draining && r.outlasts(now, a.runner.Remaining) {
+			} else if a.runner.Draining && p.outlasts(now, r, a.runner.Remaining) {
 				p.stopRun(r, StopDraining)
 			} else if r.speedLimit == 0 && now-r.speedLimitChangedAt > zeroSpeedTimeout && p.pickAgent(now, r.step, r.task, pickOptions{}) != nil {
 				p.stopRun(r, StopThrottled)
@@ -152,14 +149,13 @@
 }
 
 // outlasts reports whether a run is expected to be still running when its runner leaves.
-func (r *run) outlasts(now, remaining time.Duration) bool {
+func (p *Planner) outlasts(now time.Duration, r *run, remaining time.Duration) bool {
 	if r.step.step.Continuous {
 		return true
 	}
-	estimate := r.step.step.Estimate
-	left := estimate - estimate*time.Duration(r.percent)/100
-	if r.percent >= minExtrapolationPercent {
-		left = (now - r.confirmedAt) * time.Duration(100-r.percent) / time.Duration(r.percent)
+	left, ok := p.learnedRemaining(now, r)
+	if !ok {
+		left = r.step.step.Estimate * time.Duration(100-r.percent) / 100
 	}
 	return left > remaining+drainMargin
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"bamboowood/internal/forecast"
 	"bamboowood/internal/interference"
 	"bamboowood/internal/job"
 	"bamboowood/internal/site"
@@ -42,6 +43,9 @@
 	EndedRetention time.Duration
 	// RemoteFactor is the factor by which a task takes longer outside its data's rack.
 	RemoteFactor float64
+	// LearnedDurations corrects estimates by the durations learned for their queue and image,
+	// instead of by one factor for each queue.
+	LearnedDurations bool
 }
 
 // runsPerTerm is the size of the range of run numbers reserved for a term: a task may
@@ -80,6 +84,8 @@
 	// bias is, by queue, the logarithm of the factor by which tasks take longer than
 	// their callers' estimates.
 	bias map[string]float64
+	// learned are the durations of tasks relative to their estimates, by queue and image.
+	learned *forecast.Durations
 	// starvationLimit is how long a job may currently be without a working run. mostlyIdle is
 	// set while most of the fleet's CPU is not requested, newJobsWaiting if new jobs still
 	// waited for capacity after the last plan.
@@ -112,6 +118,7 @@
 		jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		scheduled: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		interference: interference.New(), bias: map[string]float64{}, quarantined: map[string]bool{},
+		learned: forecast.NewDurations(),
 	}
 }
 
@@ -235,7 +242,7 @@
 	age := min(max(now.Wall.Sub(j.AcceptedAt), 0), maxAge)
 	js := &jobState{
 		job: j, state: job.Queued, storedState: job.Queued, recovered: recovered,
-		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.bias[j.Queue.Name]), open: map[int]*occurrence{},
+		acceptedAt: now.Mono - age, idleSince: now.Mono, durations: newDurations(j, p.biases(j)), open: map[int]*occurrence{},
 	}
 	for i := range j.Steps {
 		js.occurrenceTasks += j.Steps[i].Tasks
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -48,7 +48,9 @@
 	tailLatency time.Duration
 	// confirmedAt is when the run was first reported as started; 0 before.
 	confirmedAt time.Duration
-	stalled     bool
+	// confirmedPercent is the progress that was reported then; a checkpoint may have contributed to it.
+	confirmedPercent int
+	stalled          bool
 	// stopReason is set in phase stopping.
 	stopReason StopReason
 	// planned is set until the plan that created the run has returned its start.
@@ -105,7 +107,7 @@
 	r.step.job.started = r.step.job.started || !act.Unconfirmed
 	if r.phase == starting && !act.Unconfirmed {
 		r.phase = running
-		r.confirmedAt = now
+		r.confirmedAt, r.confirmedPercent = now, act.Percent
 		r.progressAt = now
 	}
 	r.cpu = act.CPU
