planner: reserve capacity for blocked large steps, and fill the gaps before

Cause: small tasks take each gap before a large one fits, so large tasks wait until no small ones arrive.

Change: at the end of a plan the first blocked large steps in rank order get reservations from the expected ends of runs (forecast.Plan). Tasks that rank lower start on a reserved runner only if they end before the reservation or fit beside it; continuous and starved tasks are never held back.

--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -50,6 +50,7 @@
 	planSeconds.UpdateDuration(began)
 	r.logOverTarget(now)
 	countOrders(orders)
+	r.reportReservations(orders)
 	for _, o := range orders.Stops {
 		if conn := r.conns[o.Agent]; conn != nil {
 			conn.stop(o)
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -51,6 +51,8 @@
 	// colocation is cached within one plan.
 	colocation colocation
 	health     health
+	// reservations are those of capacity on the agent's runner.
+	reservations []*reservation
 }
 
 // AddUnreportedAgent adds an agent that may have runs of an earlier planner. They may be
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -57,10 +57,15 @@
 	if s.step.RackLocal {
 		rack = s.siblingRack()
 	}
+	heldBack := false
 	for _, a := range p.orderedAgents {
 		if !p.eligible(now, a, s, opts) || s.advice != nil && !s.advice.hasValidTicket(now, a.runner.ID) {
 			continue
 		}
+		if p.heldBack(now, a, s) {
+			heldBack = true
+			continue
+		}
 		cost := p.placementCost(now, a, s, t, rack)
 		if s.step.BestEffort {
 			slowdown, headroomCost := p.predictSlowdown(now, a, s.step)
@@ -73,17 +78,24 @@
 			best, bestCost = a, cost
 		}
 	}
+	if best == nil && heldBack {
+		p.taskHeldBack(t)
+	}
 	return best
 }
 
+// usable reports whether the agent's runner may run tasks of the step, apart from its health and load.
+func (p *Planner) usable(a *agent, s *stepState) bool {
+	return a.state == live && a.runner != nil && !a.runner.Draining && !p.site.Drained[a.runner.Zone] &&
+		a.runner.Service == s.job.job.Queue.Service &&
+		(s.step.RequiredLabel == "" || slices.Contains(a.runner.Labels, s.step.RequiredLabel))
+}
+
 func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, opts pickOptions) bool {
 	switch {
-	case a.state != live || a.runner == nil || a.runner.Draining,
-		p.site.Drained[a.runner.Zone],
-		a.runner.Service != s.job.job.Queue.Service,
+	case !p.usable(a, s),
 		now < a.health.backoffUntil,
 		opts.excludeEjected && a.health.ejected(now),
-		s.step.RequiredLabel != "" && !slices.Contains(a.runner.Labels, s.step.RequiredLabel),
 		s.step.MaxPerRunner > 0 && s.runsOnAgent[a] >= s.step.MaxPerRunner:
 		return false
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -62,8 +62,12 @@
 	Throttles []Throttle
 	// AdviceRequests are for the advice services of queues.
 	AdviceRequests []AdviceRequest
-	// Deferrals are for logging and require no action.
-	Deferrals []Deferral
+	// Deferrals and Reservations are for logging and require no action.
+	Deferrals    []Deferral
+	Reservations []ReservationEvent
+	// TasksHeldBack counts the tasks that wait because of a reservation, each once; GapsFilled counts the
+	// starts on runners with a reservation of a step that ranks higher.
+	TasksHeldBack, GapsFilled int
 }
 
 // Plan returns the orders that follow from all events so far. mayStart must be false while
@@ -92,6 +96,7 @@
 	}
 	orders.Stops, p.stops = p.stops, nil
 	orders.Deferrals, p.deferrals = p.deferrals, nil
+	p.lookahead.report(&orders)
 	orders.Throttles = p.throttles(now.Mono)
 	return orders
 }
@@ -200,7 +205,8 @@
 	p.deferOccurrences(now, candidates)
 	slices.SortStableFunc(candidates, candidate.compare)
 	excludeEjected := p.ejectionAllowed(now)
-	for _, c := range candidates {
+	p.refreshReservations(now, candidates)
+	for i, c := range candidates {
 		if p.startBudgetSpent() {
 			break
 		}
@@ -211,6 +217,7 @@
 		if c.step.advice != nil {
 			p.requestAdvice(now, c.step, excludeEjected)
 		}
+		p.placing(now, i, c)
 		switch {
 		case c.step.step.Gang:
 			p.starts = p.startGang(now, c.step, excludeEjected, p.starts)
@@ -221,6 +228,8 @@
 		}
 	}
 	p.currentJob = ""
+	p.placingEnds()
+	p.reserve(now)
 	p.newJobsWaiting = slices.ContainsFunc(candidates, func(c candidate) bool { return c.isNewAndWaiting(now) })
 	p.stats.Starts += int64(len(p.starts) - startsBefore)
 }
@@ -264,9 +273,11 @@
 		a := p.pickAgent(now, s, t, opts)
 		if a == nil {
 			s.retryAt = now + bestEffortRetryDelay
+			p.noteBlocked(s)
 			return starts
 		}
 		number := max(t.lastRunNumber+1, p.firstRunNumber())
+		p.taskPlaced(now, s, a)
 		starts = append(starts, p.startRun(now, a, s, i, number, t.checkpoint))
 	}
 	return starts
@@ -286,6 +297,9 @@
 		t := &s.tasks[i]
 		a := p.pickAgent(now, s, t, pickOptions{excludeEjected: excludeEjected})
 		if a == nil || now < t.notBefore {
+			if a == nil {
+				p.noteBlocked(s)
+			}
 			for _, undo := range starts[startsBefore:] {
 				r := p.agents[undo.Agent].runs[undo.Run]
 				p.removeRun(now, r)
@@ -296,6 +310,9 @@
 		starts = append(starts, p.startRun(now, a, s, i, number, s.gangCheckpoint))
 	}
 	s.gangRunNumber = number
+	for _, o := range starts[startsBefore:] {
+		p.taskPlaced(now, s, p.agents[o.Agent])
+	}
 	return starts
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,6 +46,8 @@
 	// LearnedDurations corrects estimates by the durations learned for their queue and image,
 	// instead of by one factor for each queue.
 	LearnedDurations bool
+	// Lookahead reserves capacity that is expected to become free for large steps that are blocked.
+	Lookahead bool
 }
 
 // runsPerTerm is the size of the range of run numbers reserved for a term: a task may
@@ -85,7 +87,8 @@
 	// their callers' estimates.
 	bias map[string]float64
 	// learned are the durations of tasks relative to their estimates, by queue and image.
-	learned *forecast.Durations
+	learned   *forecast.Durations
+	lookahead lookahead
 	// starvationLimit is how long a job may currently be without a working run. mostlyIdle is
 	// set while most of the fleet's CPU is not requested, newJobsWaiting if new jobs still
 	// waited for capacity after the last plan.
@@ -212,6 +215,8 @@
 	// failedAttempts counts refused starts and ends without success. It determines the
 	// delay before the next start.
 	failedAttempts int
+	// heldBack is set once the task has waited because of a reservation.
+	heldBack bool
 }
 
 // SetSite sets the operator settings, such as drained zones.
