planner: a run that ends before it is confirmed teaches no duration

Cause: a run that was stopped before its start was confirmed, and ended as done all the same, counted with the time since the leader's clock began as its duration, and changed the estimates of its queue.

Change: only confirmed runs are recorded.

Result: TestPattern_UnconfirmedRunDoesNotChangeEstimates fails without the change (bias 0.82 after one run).

--- a/internal/planner/duration.go
+++ b/internal/planner/duration.go
@@ -90,7 +90,7 @@
 // task's first run of the term counts, and only if it was never throttled.
 func (p *Planner) recordDuration(now time.Duration, r *run) {
 	s := r.step
-	if r.phase == starting || s.step.Continuous || r.speedLimitChangedAt != 0 || r.id.Number != p.firstRunNumber() {
+	if r.confirmedAt == 0 || s.step.Continuous || r.speedLimitChangedAt != 0 || r.id.Number != p.firstRunNumber() {
 		return
 	}
 	js := s.job
--- a/internal/planner/duration_test.go
+++ b/internal/planner/duration_test.go
@@ -71,6 +71,21 @@
 	test.Eq(t, before, f.jobs[j.ID].durations.objective)
 }
 
+// A run that was stopped before its start was confirmed, and ended as done all the same, must not teach the
+// time since the leader's clock began as its duration.
+func TestPattern_UnconfirmedRunDoesNotChangeEstimates(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(1), step(1, 0))
+	f.add(j, nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	f.stopRun(f.agents["a"].runs[starts[0].Run], StopStalled)
+	f.end("a", starts[0].Run, job.EndDone)
+	test.Zero(t, f.bias["q"])
+	test.Zero(t, f.jobs[j.ID].durations.finishedTasks[0])
+}
+
 // learnFactor has the tasks of an image take factor times their estimates.
 func (f *fixture) learnFactor(image string, factor float64) {
 	for i := range 100 {
