--- a/internal/forecast/durations.go
+++ b/internal/forecast/durations.go
@@ -53,6 +53,17 @@
 	r.add(min(max(float64(duration)/float64(estimate), 1.0/maxRatio), maxRatio), weight)
 }
 
+// LearnCensored records a task that was stopped after elapsed, so that its duration is known to be longer. It
+// counts as the longer known durations do, in proportion to their weights (Efron's redistribution to the
+// right, which is the estimate of Kaplan and Meier); without any it is ignored.
+func (d *Durations) LearnCensored(k Key, estimate, elapsed time.Duration, weight float64) {
+	r, ok := d.records.Get(k)
+	if !ok || estimate <= 0 || weight <= 0 {
+		return
+	}
+	r.addBeyond(float64(elapsed)/float64(estimate), weight)
+}
+
 // Len returns the number of keys.
 func (d *Durations) Len() int { return d.records.Len() }
 
--- a/internal/forecast/record.go
+++ b/internal/forecast/record.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// addBeyond distributes a weight over the known ratios above the given one, in proportion to their weights.
+func (r *record) addBeyond(ratio, weight float64) {
+	bins := r.table()
+	first := sort.Search(len(bins), func(i int) bool { return bins[i].ratio > ratio })
+	for i := first; i < len(bins); i++ {
+		own := bins[i].weight
+		if i+1 < len(bins) {
+			own -= bins[i+1].weight
+		}
+		r.add(bins[i].ratio, weight*own/bins[first].weight)
+	}
+}
+
 // table returns the bins.
 func (r *record) table() []bin {
 	if r.bins != nil {
