planner: copies of late tasks of speculative steps

Cause: 3 of 100 tasks take 7 times as long, so a quarter of the jobs with 10 tasks wait for one; the field speculative was parsed and had no effect.

The first end as done decides, the other run is stopped. The end is not stored while the copy's start may still take effect. A new leader adopts both runs. Options.Speculation switches it; it is on in entries.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -172,7 +172,7 @@
 		Site: siteWatcher.State, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.EarlyStart, EndedRetention: n.node.Bounds.StatusRetention,
-			RemoteFactor: n.node.Bounds.RemoteFactor, LearnedDurations: true, Lookahead: true,
+			RemoteFactor: n.node.Bounds.RemoteFactor, LearnedDurations: true, Lookahead: true, Speculation: true,
 		},
 	})
 	leaderClient := &leader.Client{Leader: jobLeader}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -85,8 +85,7 @@
 	Gang bool `json:"gang,omitempty"`
 	// RackLocal tasks are slower when they are spread over racks.
 	RackLocal bool `json:"racklocal,omitempty"`
-	// Speculative tasks may run in several copies at once; the first to finish counts. The
-	// planner starts no copies.
+	// Speculative tasks may run in two copies at once; the first to finish counts.
 	Speculative bool `json:"copies,omitempty"`
 	// Continuous tasks run until the job is cancelled.
 	Continuous bool `json:"cont,omitempty"`
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -77,6 +77,9 @@
 	pending, _ := r.planner.Pending()
 	received := r.receivedEnds()
 	r.mu.Unlock()
+	if len(changes) == 0 {
+		return nil // all pending changes wait for starts to take effect or expire
+	}
 	began := time.Now()
 	err := r.term.Commit(r.ctx, changes)
 	commitSeconds.UpdateDuration(began)
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -51,6 +51,7 @@
 	r.logOverTarget(now)
 	countOrders(orders)
 	r.reportReservations(orders)
+	countCopies(orders.Copies)
 	for _, o := range orders.Stops {
 		if conn := r.conns[o.Agent]; conn != nil {
 			conn.stop(o)
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -121,7 +121,7 @@
 	}
 	p.openReported(now, act.Run.Task)
 	s, t := p.findTask(act.Run.Task)
-	if s != nil && !t.done && t.liveRun == nil && !s.job.state.Terminal() {
+	if s != nil && !t.done && s.mayAdopt(t, a) && !s.job.state.Terminal() {
 		r := p.addRun(now, a, s, t, act.Run)
 		r.speedUnknown = !act.OrderedSpeed.Known
 		if limit := act.OrderedSpeed; limit.Known && limit.Percent != fullSpeed && s.step.BestEffort {
@@ -136,6 +136,12 @@
 	p.stopOrphan(now, a, act)
 }
 
+// mayAdopt reports whether a run of the task that the agent reports may live: as its only run, or as a second
+// one on another runner if the step is speculative.
+func (s *stepState) mayAdopt(t *taskState, a *agent) bool {
+	return t.liveRun == nil || s.step.Speculative && !s.step.Gang && t.copyRun == nil && t.liveRun.agent != a
+}
+
 func (p *Planner) findTask(t job.Task) (*stepState, *taskState) {
 	js := p.jobs[t.Job]
 	if js == nil {
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -16,6 +16,8 @@
 	overcommit bool
 	// maxStarts bounds the number of tasks to start; 0 means no bound.
 	maxStarts int
+	// exclude is an agent that is not eligible, nil if all are.
+	exclude *agent
 }
 
 // Weights of the placement cost, as shares of a task's duration.
@@ -59,7 +61,7 @@
 	}
 	heldBack := false
 	for _, a := range p.orderedAgents {
-		if !p.eligible(now, a, s, opts) || s.advice != nil && !s.advice.hasValidTicket(now, a.runner.ID) {
+		if a == opts.exclude || !p.eligible(now, a, s, opts) || s.advice != nil && !s.advice.hasValidTicket(now, a.runner.ID) {
 			continue
 		}
 		if p.heldBack(now, a, s) {
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -43,6 +43,7 @@
 	if r != nil {
 		if e.Reason == job.EndDone {
 			p.recordDuration(now, r)
+			p.copies.ended(r, !r.task.done)
 		}
 		p.removeRun(now, r)
 		if r.stalled {
@@ -78,7 +79,7 @@
 			return
 		}
 	}
-	if r != nil {
+	if r != nil && t.liveRun == nil {
 		t.failedAttempts++
 		p.scheduleRetry(now, s, t, retryDelay(t.failedAttempts, e.Reason))
 	}
@@ -95,6 +96,7 @@
 			p.markDone(s, &s.tasks[i])
 		}
 	} else {
+		p.otherRunsDone(now, s, t)
 		p.markDone(s, t)
 	}
 	p.dirty[s.job] = struct{}{}
@@ -189,6 +191,9 @@
 	default:
 		a.health.recordRefusal(now)
 	}
+	if r.task.liveRun != nil {
+		return
+	}
 	r.task.failedAttempts++
 	p.scheduleRetry(now, r.step, r.task, retryDelay(r.task.failedAttempts, job.EndFailed))
 }
--- a/internal/planner/lookahead_test.go
+++ b/internal/planner/lookahead_test.go
@@ -26,6 +26,8 @@
 	ends   map[time.Duration][]Start
 	counts map[ReservationChange]int
 	jobs   int
+	// straggling is the share of runs that take 7 times as long.
+	straggling float64
 }
 
 const loopTick = 50 * time.Millisecond
@@ -56,7 +58,9 @@
 
 func (l *closedLoop) tick() Orders {
 	for _, s := range l.ends[l.f.now] {
-		l.f.end(s.Agent, s.Run, job.EndDone)
+		if l.f.agents[s.Agent].runs[s.Run] != nil {
+			l.f.end(s.Agent, s.Run, job.EndDone)
+		}
 	}
 	delete(l.ends, l.f.now)
 	for _, a := range l.f.orderedAgents {
@@ -70,8 +74,14 @@
 		id := s.Run.Task.Job
 		l.waits[id] = append(l.waits[id], l.f.now-l.submitted[id])
 		at := l.f.now + l.durations[id]
+		if l.straggling > 0 && l.random.Float64() < l.straggling {
+			at += 6 * l.durations[id]
+		}
 		l.ends[at] = append(l.ends[at], s)
 	}
+	for _, s := range orders.Stops {
+		l.f.end(s.Agent, s.Run, job.EndStopped)
+	}
 	for _, e := range orders.Reservations {
 		l.counts[e.Change]++
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -68,6 +68,8 @@
 	// TasksHeldBack counts the tasks that wait because of a reservation, each once; GapsFilled counts the
 	// starts on runners with a reservation of a step that ranks higher.
 	TasksHeldBack, GapsFilled int
+	// Copies counts what happened to copies since the last plan.
+	Copies CopyCounts
 }
 
 // Plan returns the orders that follow from all events so far. mayStart must be false while
@@ -97,6 +99,7 @@
 	orders.Stops, p.stops = p.stops, nil
 	orders.Deferrals, p.deferrals = p.deferrals, nil
 	p.lookahead.report(&orders)
+	orders.Copies, p.copies.counts = p.copies.counts, CopyCounts{}
 	orders.Throttles = p.throttles(now.Mono)
 	return orders
 }
@@ -230,6 +233,8 @@
 	p.currentJob = ""
 	p.placingEnds()
 	p.reserve(now)
+	p.planCopies(now, excludeEjected)
+	p.currentJob = ""
 	p.newJobsWaiting = slices.ContainsFunc(candidates, func(c candidate) bool { return c.isNewAndWaiting(now) })
 	p.stats.Starts += int64(len(p.starts) - startsBefore)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,8 +5,8 @@
 // The agents are authoritative for the runs that exist, the ledger for the jobs that
 // were accepted and the tasks that have ended. A planner caches both. Invariants:
 //
-//   - A task has at most one run that may be alive; steps that allow speculative
-//     copies are no exception, as the planner starts none. A run may be alive from
+//   - A task has at most one run that may be alive; a task of a speculative step at
+//     most two, on different agents. A run may be alive from
 //     the order to start it until its end is reported, its agent does not list it
 //     any more though its process would know it, or the lease of its agent has
 //     certainly expired.
@@ -48,6 +48,8 @@
 	LearnedDurations bool
 	// Lookahead reserves capacity that is expected to become free for large steps that are blocked.
 	Lookahead bool
+	// Speculation starts copies of late tasks of speculative steps. It requires LearnedDurations.
+	Speculation bool
 }
 
 // runsPerTerm is the size of the range of run numbers reserved for a term: a task may
@@ -89,6 +91,7 @@
 	// learned are the durations of tasks relative to their estimates, by queue and image.
 	learned   *forecast.Durations
 	lookahead lookahead
+	copies    copies
 	// starvationLimit is how long a job may currently be without a working run. mostlyIdle is
 	// set while most of the fleet's CPU is not requested, newJobsWaiting if new jobs still
 	// waited for capacity after the last plan.
@@ -161,6 +164,8 @@
 	// tasks is kept working while the fleet is mostly idle.
 	starved bool
 	endedAt time.Duration
+	// unsettled are runs of done tasks that may still start. The progress is not stored meanwhile.
+	unsettled []*run
 }
 
 // occurrence is one execution of a job's steps.
@@ -208,8 +213,10 @@
 	// lastRunNumber is the highest run number that was used.
 	lastRunNumber int64
 	liveRun       *run
-	checkpoint    string
-	notBefore     time.Duration
+	// copyRun is a second run that may be alive; it is nil unless the step is speculative.
+	copyRun    *run
+	checkpoint string
+	notBefore  time.Duration
 	// avoidAgent is the agent on which the last run failed or stalled.
 	avoidAgent *agent
 	// failedAttempts counts refused starts and ends without success. It determines the
@@ -347,6 +354,9 @@
 				if r := occ.steps[i].tasks[t].liveRun; r != nil {
 					p.stopRun(r, reason)
 				}
+				if r := occ.steps[i].tasks[t].copyRun; r != nil {
+					p.stopRun(r, reason)
+				}
 			}
 		}
 	}
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -167,6 +167,9 @@
 		if len(changes) == limit {
 			break
 		}
+		if !js.settled(p.lastInstant.Mono) {
+			continue
+		}
 		changes = append(changes, Change{Job: js.job.ID, Progress: js.progress()})
 		delete(p.dirty, js)
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -5,6 +5,7 @@
 
 	"bamboowood/internal/job"
 	"bamboowood/internal/latency"
+	"bamboowood/internal/speculation"
 )
 
 // phase is the stage of a run's life cycle.
@@ -51,6 +52,10 @@
 	// confirmedPercent is the progress that was reported then; a checkpoint may have contributed to it.
 	confirmedPercent int
 	stalled          bool
+	// isCopy is set for a copy of a task until its end is counted. copyRefusal is why the run had no copy
+	// when that was last decided.
+	isCopy      bool
+	copyRefusal speculation.Refusal
 	// stopReason is set in phase stopping.
 	stopReason StopReason
 	// planned is set until the plan that created the run has returned its start.
@@ -63,7 +68,11 @@
 func (p *Planner) addRun(now time.Duration, a *agent, s *stepState, t *taskState, id job.Run) *run {
 	r := &run{id: id, agent: a, step: s, task: t, orderedAt: now, progressAt: now, speedLimit: fullSpeed}
 	s.setWaiting(t, false)
-	t.liveRun = r
+	if t.liveRun == nil {
+		t.liveRun = r
+	} else {
+		t.copyRun = r
+	}
 	t.lastRunNumber = max(t.lastRunNumber, id.Number)
 	a.runs[id] = r
 	a.addRequest(now, s.step, 1)
@@ -81,9 +90,13 @@
 	if r.speedLimit > 0 {
 		r.step.job.decrementWorkingRuns(now)
 	}
-	if r.task.liveRun == r {
-		r.task.liveRun = nil
+	switch r {
+	case r.task.liveRun:
+		r.task.liveRun, r.task.copyRun = r.task.copyRun, nil
+	case r.task.copyRun:
+		r.task.copyRun = nil
 	}
+	p.copies.ended(r, false)
 }
 
 func (js *jobState) decrementWorkingRuns(now time.Duration) {
@@ -105,8 +118,10 @@
 
 func (p *Planner) applyActivity(now time.Duration, r *run, act job.Activity) {
 	r.step.job.started = r.step.job.started || !act.Unconfirmed
-	if r.phase == starting && !act.Unconfirmed {
-		r.phase = running
+	if r.confirmedAt == 0 && !act.Unconfirmed {
+		if r.phase == starting {
+			r.phase = running
+		}
 		r.confirmedAt, r.confirmedPercent = now, act.Percent
 		r.progressAt = now
 	}
