soak: steps with copies

Cause: copies change what a runner's history may show, and the random faults did not reach them.

Change: TestSoak_SpeculativeSteps submits speculative steps, one in eight runs of which takes 7 s, beside the faults of the other runs. For these tasks at most two runs may overlap, on two runners, and none may begin after an acknowledged end as done; checks of all other tasks are unchanged. The stand-in runner's Duration gets the run's number.

--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -124,7 +124,7 @@
 		ip := fmt.Sprintf("127.0.7.%d", 20+i)
 		r := &platformtest.Runner{
 			ID: "i-" + ip, Service: "desk", Zone: "z1", Labels: []string{"a", "r1-" + ip}, CPU: 8000, MemoryMB: 8000,
-			Duration: func(string) (time.Duration, bool) { return taskDuration, false },
+			Duration: func(string, int64) (time.Duration, bool) { return taskDuration, false },
 		}
 		r.Reset()
 		d.runners = append(d.runners, r)
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -24,6 +24,8 @@
 	failingShare     = 0.05
 	minDuration      = 50 * time.Millisecond
 	maxDuration      = 2500 * time.Millisecond
+	stragglerShare   = 8
+	stragglerTime    = 7 * time.Second
 	// callTimeout is how long a caller waits for one answer, retryInterval its pause between
 	// attempts.
 	callTimeout   = 3 * time.Second
@@ -35,6 +37,8 @@
 	id          string
 	tasks       []int // number of tasks of each step; a step starts after the previous one
 	longRunning bool
+	// speculative steps allow copies of their tasks.
+	speculative bool
 
 	mu sync.Mutex
 	// accepted: an attempt was answered 200. unconfirmed: an attempt had no answer or an
@@ -62,6 +66,8 @@
 	seed int64
 	// longRunningLeft is the number of long-running tasks that may still be submitted.
 	longRunningLeft int
+	// speculative is set if the steps of jobs that are not long-running are speculative.
+	speculative bool
 
 	mu   sync.Mutex
 	jobs map[string]*submission
@@ -99,14 +105,15 @@
 	if s.longRunning {
 		wl.longRunningLeft -= s.tasks[0]
 	}
+	s.speculative = wl.speculative && !s.longRunning
 	wl.jobs[s.id] = s
 	wl.list = append(wl.list, s)
 	return s
 }
 
-// runResult returns the duration of a task's runs and whether they fail. Both depend only on the
-// seed and the task's name.
-func (wl *workload) runResult(task string) (d time.Duration, fails bool) {
+// runResult returns the duration of a task's run and whether it fails. Both depend only on the
+// seed and the task's name. One in stragglerShare runs of speculative steps takes stragglerTime.
+func (wl *workload) runResult(task string, run int64) (d time.Duration, fails bool) {
 	parsed, err := job.ParseTask(task)
 	if err != nil {
 		return 0, true
@@ -114,6 +121,13 @@
 	if s := wl.find(parsed.Job); s != nil && s.longRunning {
 		return time.Hour, false
 	}
+	if s := wl.find(parsed.Job); s != nil && s.speculative {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, wl.seed, task, run)
+		if h.Sum64()%stragglerShare == 0 {
+			return stragglerTime, false
+		}
+	}
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, wl.seed, task) // writing to a hash does not fail
 	r := rand.New(rand.NewPCG(h.Sum64(), 2))
@@ -128,10 +142,11 @@
 		EstimateMS  int   `json:"estimateMs"`
 		After       []int `json:"after,omitempty"`
 		LongRunning bool  `json:"longRunning,omitempty"`
+		Speculative bool  `json:"speculative,omitempty"`
 	}
 	var steps []step
 	for i, n := range s.tasks {
-		x := step{Count: n, CPU: taskCPU, MemMB: 100, EstimateMS: 500, LongRunning: s.longRunning}
+		x := step{Count: n, CPU: taskCPU, MemMB: 100, EstimateMS: 500, LongRunning: s.longRunning, Speculative: s.speculative}
 		if i > 0 {
 			x.After = []int{i - 1}
 		}
--- a/test/soak/record_test.go
+++ b/test/soak/record_test.go
@@ -55,6 +55,8 @@
 	begin, end   time.Time
 	reason       string // empty while it runs
 	acknowledged bool
+	// acknowledgedAt is when the runner received the acknowledgement.
+	acknowledgedAt time.Time
 }
 
 func (x execution) overlaps(y execution) bool {
@@ -90,7 +92,7 @@
 		case e.Kind == platformtest.RunEnded:
 			list[i].end, list[i].reason = e.At, e.Reason
 		case e.Kind == platformtest.EndAcknowledged:
-			list[i].acknowledged = true
+			list[i].acknowledged, list[i].acknowledgedAt = true, e.At
 		}
 	}
 	return runs
@@ -113,7 +115,11 @@
 		if s.refused() {
 			cl.history.failf("%s ran, but its job was refused", task)
 		}
-		cl.checkRuns(task, list)
+		if s.speculative {
+			cl.checkCopies(task, list)
+		} else {
+			cl.checkRuns(task, list)
+		}
 		if parsed.Step > 0 {
 			cl.checkStepOrder(parsed, s, list, runs)
 		}
@@ -141,6 +147,25 @@
 	}
 }
 
+// checkCopies checks the runs of a task of a speculative step: at most two overlap, on two runners, and none
+// begins after the end of one as done is recorded.
+func (cl *cluster) checkCopies(task string, list []execution) {
+	for i, x := range list {
+		overlapping := 0
+		for _, y := range list[:i] {
+			if x.overlaps(y) && (y.end.IsZero() || x.begin.Before(y.end)) {
+				cl.copies++
+				if overlapping++; overlapping > 1 || x.runner == y.runner {
+					cl.history.failf("%s: run %d on %s is beside run %d on %s, the %d. of its other runs", task, x.run, x.runner, y.run, y.runner, overlapping)
+				}
+			}
+			if y.reason == "done" && y.acknowledged && x.begin.After(y.acknowledgedAt) {
+				cl.history.failf("%s was restarted (run %d) after run %d was done and acknowledged", task, x.run, y.run)
+			}
+		}
+	}
+}
+
 func (cl *cluster) checkStepOrder(parsed job.Task, s *submission, list []execution, runs map[string][]execution) {
 	for _, x := range list {
 		for i := range s.tasks[parsed.Step-1] {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -76,6 +76,12 @@
 	runSeeds(t, []int64{300, 303, 306, 311}, options{fallback})
 }
 
+// Guards against a third run of a task with a copy, a start after its recorded end, and jobs that never end
+// since the runs of a task wait for each other, when leaders, agents and runners change meanwhile.
+func TestSoak_SpeculativeSteps(t *testing.T) {
+	runSeeds(t, []int64{500, 502}, options{speculative})
+}
+
 // Guards against an agent that drops runs which go on: their lease has neither ended nor is their
 // runner's VM gone.
 func TestSoak_Membership(t *testing.T) {
@@ -131,8 +137,8 @@
 	cl.awaitConvergence(c)
 	cl.checkInvariants()
 	probes, judged := settings.check()
-	t.Logf("%d jobs, %d runner events, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
-		len(cl.jobs.all()), len(cl.history.events), time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
+	t.Logf("%d jobs, %d runner events, %d copies, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
+		len(cl.jobs.all()), len(cl.history.events), cl.copies, time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
 	for _, p := range cl.all() {
 		if line := p.logs.malformedLine(); line != "" {
 			cl.history.failf("%s wrote a log line that is not JSON: %s", p.name, line)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -163,14 +163,15 @@
 type options []string
 
 const (
-	fallback      = "fallback"   // runners call other agents when theirs does not acknowledge a report
-	membership    = "membership" // VMs are added, and removed for good
-	newID         = "new-id"     // a runner starts under a new id while the process it replaces lives
-	pausedRunner  = "pause"      // runners are paused
-	slowClock     = "slow-clock" // runners have slow clocks
-	refusedRunner = "refuse"     // runners' addresses refuse connections while they live
-	oddReport     = "odd-report" // other writers send reports to agents
-	oddRow        = "odd-row"    // other writers write to the tables of the system
+	fallback      = "fallback"    // runners call other agents when theirs does not acknowledge a report
+	speculative   = "speculative" // steps allow copies of their tasks, some runs of which take long
+	membership    = "membership"  // VMs are added, and removed for good
+	newID         = "new-id"      // a runner starts under a new id while the process it replaces lives
+	pausedRunner  = "pause"       // runners are paused
+	slowClock     = "slow-clock"  // runners have slow clocks
+	refusedRunner = "refuse"      // runners' addresses refuse connections while they live
+	oddReport     = "odd-report"  // other writers send reports to agents
+	oddRow        = "odd-row"     // other writers write to the tables of the system
 )
 
 func (o options) has(name string) bool { return slices.Contains(o, name) }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -72,9 +72,11 @@
 	t       *testing.T
 	seed    int64
 	options options
-	dir     string
-	slot    int
-	store   *platformtest.Store
+	// copies counts the runs that overlapped with another one of their task.
+	copies int
+	dir    string
+	slot   int
+	store  *platformtest.Store
 	// storeAddress is the store's address for agents.
 	storeAddress string
 	entries      []*process
@@ -115,6 +117,7 @@
 
 func newCluster(t *testing.T, seed int64, slot, entries, agents int, o options) *cluster {
 	cl := &cluster{t: t, seed: seed, options: o, slot: slot, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
+	cl.jobs.speculative = o.has(speculative)
 	cl.storeAddress = cl.serve(net.JoinHostPort(address(slot, 1), "18169"), cl.store)
 	cl.store.WriteOperator("config", []byte(config))
 	for i := range agents + addedVMs(o) {
