planner: steps that find no reservation leave the attempts to others

Cause: the first 4 blocked large steps are tried in each plan. Steps that no runner can run (a label that nothing has) rank first for ever, so no other step got a reservation; and a step that outranked others had them give up theirs before it was known whether it finds any.

Change: a step in its pause is not counted; the pause doubles with each attempt without a reservation; the steps that rank last give up theirs only after the attempt.

Result: TestPattern_ReservationBesideHopelessSteps fails without the change (no reservation within 1 s), and passes with it.

--- a/internal/planner/lookahead.go
+++ b/internal/planner/lookahead.go
@@ -27,7 +27,8 @@
 	// twice the expected ones, but by at least minReservationMargin and at most maxReservationMargin.
 	minReservationMargin, maxReservationMargin = 500 * time.Millisecond, 5 * time.Second
 	// reservationInterval is the time between two attempts to reserve capacity for a step. It doubles with
-	// each overdue reservation, up to maxReservationInterval.
+	// each overdue reservation and each attempt without one, up to maxReservationInterval, so that steps that
+	// no runner can run leave the attempts to others.
 	reservationInterval, maxReservationInterval = 250 * time.Millisecond, 8 * time.Second
 )
 
@@ -89,9 +90,10 @@
 	reservations []*reservation
 	// position is the step's place in the rank order of the current plan.
 	position int
-	// attemptAt is when a reservation may be tried again; overdue counts reservations given up as overdue.
+	// attemptAt is when a reservation may be tried again; failures counts the attempts without a reservation
+	// and the overdue ones since a reservation was last kept.
 	attemptAt time.Duration
-	overdue   int
+	failures  int
 }
 
 // reservation is capacity for one task of a step on a runner from at on.
@@ -158,11 +160,15 @@
 		}
 	}
 	if overdue {
-		rs.overdue++
-		rs.attemptAt = now + min(reservationInterval<<min(rs.overdue, 10), maxReservationInterval)
+		rs.attemptFailed(now)
 	}
 }
 
+func (rs *reservedStep) attemptFailed(now time.Duration) {
+	rs.failures++
+	rs.attemptAt = now + min(reservationInterval<<min(rs.failures, 10), maxReservationInterval)
+}
+
 func (p *Planner) removeReservation(now time.Duration, r *reservation, change ReservationChange) {
 	isRemoved := func(x *reservation) bool { return x == r }
 	r.owner.reservations = slices.DeleteFunc(r.owner.reservations, isRemoved)
@@ -190,8 +196,8 @@
 // placingEnds ends the placement of steps; later choices of runners respect all reservations.
 func (p *Planner) placingEnds() { p.lookahead.position, p.lookahead.exempt = math.MaxInt, false }
 
-// noteBlocked records a step that found no runner for its next task, if it is large.
-func (p *Planner) noteBlocked(s *stepState) {
+// noteBlocked records a step that found no runner for its next task, if it is large and may be tried now.
+func (p *Planner) noteBlocked(now time.Duration, s *stepState) {
 	l := &p.lookahead
 	if !p.opts.Lookahead || s.step.BestEffort || len(l.blocked) == maxReservedSteps {
 		return
@@ -209,6 +215,9 @@
 	if rs == nil {
 		rs = &reservedStep{step: s}
 	}
+	if now < rs.attemptAt {
+		return
+	}
 	rs.position = l.position
 	l.blocked = append(l.blocked, rs)
 }
@@ -225,6 +234,7 @@
 	}
 	for _, r := range rs.reservations {
 		if r.agent == a {
+			rs.failures = 0
 			p.removeReservation(now, r, ReservationKept)
 			return
 		}
--- a/internal/planner/lookahead_test.go
+++ b/internal/planner/lookahead_test.go
@@ -249,6 +249,30 @@
 	}
 }
 
+// Large steps that no runner can run rank first; a wide step behind them must get a reservation all the same.
+func TestPattern_ReservationBesideHopelessSteps(t *testing.T) {
+	f, first, _ := reservedFixture(t)
+	f.Cancel(f.now, first.ID)
+	for n := range 3 * maxReservedSteps {
+		hopeless := testJob(10+n, step(1))
+		hopeless.Steps[0].CPU, hopeless.Steps[0].RequiredLabel, hopeless.Queue.Slack = 16_000, "none", time.Millisecond
+		f.add(hopeless, nil, false)
+	}
+	wide := testJob(3, step(1))
+	wide.Steps[0].CPU, wide.Queue.Slack = 16_000, time.Minute
+	f.add(wide, nil, false)
+	made := 0
+	for range 100 {
+		for _, e := range f.plan().Reservations {
+			if e.Change == ReservationMade && e.Task.Job == wide.ID {
+				made++
+			}
+		}
+		f.now += 10 * time.Millisecond
+	}
+	test.Eq(t, 1, made)
+}
+
 // The zone of a reserved runner is drained and returns: its reservation must be given up, nothing may start
 // there meanwhile, and the wide step must start once the zone is back.
 func TestPattern_DrainedZoneReturns(t *testing.T) {
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -135,25 +135,6 @@
 	}
 }
 
-// checkOtherRuns checks that a started task has no other live run, or, if its step is speculative, at most one
-// and that on another agent.
-func (m *model) checkOtherRuns(o Start) {
-	copies := 0
-	for id, other := range m.agents {
-		for _, runs := range [][]job.Activity{other.active(), activities(other.earlierRuns)} {
-			for _, act := range runs {
-				if act.Run.Task != o.Run.Task {
-					continue
-				}
-				if copies++; !o.Step.Speculative || o.Step.Gang || copies > 1 || id == o.Agent {
-					m.t.Fatalf("start of %v on %s while %v is alive on %s", o.Run, o.Agent, act.Run, id)
-				}
-				m.copies++
-			}
-		}
-	}
-}
-
 func (m *model) job(id string) *job.Job {
 	return m.jobs[slices.IndexFunc(m.jobs, func(j *job.Job) bool { return j.ID == id })]
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -278,7 +278,7 @@
 		a := p.pickAgent(now, s, t, opts)
 		if a == nil {
 			s.retryAt = now + bestEffortRetryDelay
-			p.noteBlocked(s)
+			p.noteBlocked(now, s)
 			return starts
 		}
 		number := max(t.lastRunNumber+1, p.firstRunNumber())
@@ -303,7 +303,7 @@
 		a := p.pickAgent(now, s, t, pickOptions{excludeEjected: excludeEjected})
 		if a == nil || now < t.notBefore {
 			if a == nil {
-				p.noteBlocked(s)
+				p.noteBlocked(now, s)
 			}
 			for _, undo := range starts[startsBefore:] {
 				r := p.agents[undo.Agent].runs[undo.Run]
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -51,12 +51,18 @@
 		a.reservations = append(a.reservations, r)
 		p.recordReservation(now, r, ReservationMade)
 	}
+	for _, rs := range steps {
+		if len(rs.reservations) == 0 {
+			rs.attemptFailed(now)
+		}
+	}
+	p.giveUpLast(now)
 }
 
 // tasksToReserve returns for how many further tasks of a blocked step capacity may be reserved now.
 func (p *Planner) tasksToReserve(now time.Duration, rs *reservedStep) int {
 	l, s := &p.lookahead, rs.step
-	if now < rs.attemptAt || s.waitingTasks == 0 || len(rs.reservations) == 0 && !p.makeRoom(now, rs) {
+	if s.waitingTasks == 0 || len(rs.reservations) == 0 && !p.mayReserve(rs) {
 		return 0
 	}
 	rs.attemptAt = now + reservationInterval
@@ -78,30 +84,35 @@
 	return min(allowed, maxReservedTasks, s.waitingTasks) - len(rs.reservations)
 }
 
-// makeRoom reports whether one more step may have reservations. If there are too many, the one that ranks
-// last gives up its reservations if the new one ranks higher.
-func (p *Planner) makeRoom(now time.Duration, rs *reservedStep) bool {
-	reserved := 0
-	var last *reservedStep
-	for _, other := range p.lookahead.steps {
-		if len(other.reservations) == 0 {
+// lastReserved returns the number of steps with reservations, and the one of them that ranks last.
+func (p *Planner) lastReserved() (n int, last *reservedStep) {
+	for _, rs := range p.lookahead.steps {
+		if len(rs.reservations) == 0 {
 			continue
 		}
-		reserved++
-		if last == nil || other.position > last.position {
-			last = other
+		n++
+		if last == nil || rs.position > last.position {
+			last = rs
 		}
 	}
-	if reserved < maxReservedSteps {
-		return true
-	}
-	if last.position <= rs.position {
-		return false
-	}
-	for len(last.reservations) > 0 {
-		p.removeReservation(now, last.reservations[0], ReservationOutranked)
+	return n, last
+}
+
+// mayReserve reports whether a step may be one of the steps with reservations.
+func (p *Planner) mayReserve(rs *reservedStep) bool {
+	n, last := p.lastReserved()
+	return n < maxReservedSteps || rs.position <= last.position
+}
+
+// giveUpLast gives up the reservations of the steps that rank last while there are too many. It follows the
+// attempts, so that a step that finds no room takes none from others.
+func (p *Planner) giveUpLast(now time.Duration) {
+	for n, last := p.lastReserved(); n > maxReservedSteps; n, last = p.lastReserved() {
+		for len(last.reservations) > 0 {
+			p.removeReservation(now, last.reservations[0], ReservationOutranked)
+		}
+		last.attemptFailed(now)
 	}
-	return true
 }
 
 // dominantShare is the largest share of the given capacity that a task of the step needs of any resource.
