planner: best-effort tasks start only where the headroom lasts while they run

Cause: a best-effort task was admitted by the headroom of its neighbours 0.4 s ahead, and throttled when their load rose a moment later; 55% of the reports over a latency target came within 1 s of such a start. Change: the forecast for admissions reaches 2.4 s ahead, about the length of such a task.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -18,6 +18,9 @@
 	// recoveringHeadroom is the headroom below which a task has built up a queue. The
 	// queue takes time to clear after the best-effort tasks are throttled.
 	recoveringHeadroom = 0.5
+	// admissionHorizon is how far ahead the headroom of latency-critical tasks is forecast when a
+	// best-effort task is to start beside them: about as long as such a task runs.
+	admissionHorizon = 2400 * time.Millisecond
 	// reportAge is the mean age of the figures in a report.
 	reportAge = 250 * time.Millisecond
 )
@@ -76,6 +79,13 @@
 	return p.interference.Headroom(s.job.job.ID, now+forecastHorizon)
 }
 
+// admissionHeadroom forecasts the least headroom of a latency-critical step while a best-effort task
+// that starts now is running. A task that starts while the load rises would otherwise be throttled a
+// moment later.
+func (p *Planner) admissionHeadroom(now time.Duration, s *stepState) float64 {
+	return min(p.headroom(now, s), p.interference.Headroom(s.job.job.ID, now+admissionHorizon))
+}
+
 // colocation caches the latency-critical images on an agent and the interference that
 // they suffer there.
 type colocation struct {
@@ -87,7 +97,7 @@
 // criticalImage is an image of latency-critical tasks on an agent.
 type criticalImage struct {
 	image string
-	// headroom is the least forecast of the image's steps on the agent.
+	// headroom is the least forecast of the image's steps on the agent over admissionHorizon.
 	headroom float64
 	// headroomCost is the headroom that the agent's best-effort tasks cost the image at
 	// full speed, maxPressure the highest pressure of any of them.
@@ -105,7 +115,7 @@
 		if r.step.step.LatencyTarget <= 0 {
 			continue
 		}
-		image, headroom := r.step.step.Image, p.headroom(now, r.step)
+		image, headroom := r.step.step.Image, p.admissionHeadroom(now, r.step)
 		i := slices.IndexFunc(n.images, func(s criticalImage) bool { return s.image == image })
 		if i < 0 {
 			headroomCost, maxPressure := p.bestEffortCost(a, image)
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -284,3 +284,27 @@
 	must.Len(t, 1, starts)
 	test.NotEq(t, "b", starts[0].Agent)
 }
+
+// The load of a latency-critical job rises. Guards against a best-effort task that is started where there
+// is headroom at the moment, and throttled while it runs: it must wait, or start elsewhere.
+func TestPattern_LoadRisesWhileBestEffortTaskRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, criticalStep(1, "web")), nil, false)
+	critical := f.plan().Starts
+	must.Len(t, 1, critical)
+	f.trainPressure("web", "heavy", 1)
+	for tail := int64(26); tail < 50; tail += 3 {
+		f.report("a", critical[0].Run, tail)
+		f.now += 250 * time.Millisecond
+	}
+	step := f.jobs[critical[0].Run.Task.Job].open[0].steps
+	must.Greater(t, headroomGoal+0.25, f.headroom(f.now, &step[0]), must.Sprint("there is headroom now"))
+	f.add(testJob(2, bestEffortStep("heavy")), nil, false)
+	must.Len(t, 0, f.plan().Starts)
+	f.agent("b")
+	f.now += bestEffortRetryDelay
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, "b", starts[0].Agent)
+}
