interference, planner: latency-critical images are mixed by the pressures that they suffer

Cause: all pairs of different images counted alike, so that runners mixed images that suffer from different best-effort images, and hardly any best-effort task could run there. Change: the cost of mixing is in proportion to the distance of the images' pressures.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -36,10 +36,10 @@
 	// emptyRunnerWeight keeps latency-critical tasks off runners that have no
 	// latency-critical task, which remain free for best-effort tasks.
 	emptyRunnerWeight = 1
-	// imageMixWeight keeps latency-critical tasks off runners that have some of other images.
-	// The fewer of these images a runner has, the more best-effort images can run there
-	// without interference.
-	imageMixWeight = 0.1
+	// imageMixWeight keeps latency-critical tasks off runners that have some of images that
+	// suffer from other best-effort images, in proportion to the distance of the images. The
+	// less these differ, the more best-effort images can run there without interference.
+	imageMixWeight = 0.2
 	// avoidWeight keeps a task away from the runner on which it last failed or stalled.
 	avoidWeight = 3
 	// noCriticalWeight keeps tasks that are neither best-effort nor latency-critical off
@@ -152,9 +152,7 @@
 	}
 	cost := 0.0
 	for _, n := range p.colocatedImages(now, a) {
-		if n.image != image {
-			cost += imageMixWeight
-		}
+		cost += imageMixWeight * p.interference.Distance(n.image, image)
 	}
 	return cost
 }
--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -308,3 +308,28 @@
 	must.Len(t, 1, starts)
 	test.Eq(t, "b", starts[0].Agent)
 }
+
+// Latency-critical images suffer from the same or from different best-effort images. Guards against mixing
+// images on one runner so that hardly any best-effort image can run there.
+func TestPattern_LatencyCriticalImagesCompeteForDifferentResources(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.agent("b")
+	for _, image := range []string{"cache-1", "cache-2"} {
+		f.trainPressure(image, "scan", 10)
+		f.trainPressure(image, "solve", 0.5)
+	}
+	f.trainPressure("cpu", "scan", 0.5)
+	f.trainPressure("cpu", "solve", 10)
+	f.add(testJob(1, criticalStep(1, "cpu")), nil, false)
+	f.add(testJob(2, func() job.Step { s := criticalStep(1, "cache-1"); s.CPU = 14_000; return s }()), nil, false)
+	agents := map[string]string{}
+	for _, s := range f.plan().Starts {
+		agents[s.Step.Image] = s.Agent
+	}
+	must.NotEq(t, agents["cpu"], agents["cache-1"])
+	f.add(testJob(3, func() job.Step { s := criticalStep(1, "cache-2"); s.CPU = 1_000; return s }()), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, agents["cache-1"], starts[0].Agent)
+}
