planner: best-effort jobs are served in the order of their fair ends

Cause: ordered by slack, all jobs are postponed until they are nearly late, and those with too long an estimate beyond. Change: among jobs that can meet their objective, the order is the due time plus the time of the remaining work at an equal share of the CPU, at most a third of the objective.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -135,6 +135,9 @@
 	rank     int
 	priority int
 	slack    time.Duration
+	// order is the key among candidates of the same rank and priority: the slack, or the fair end of
+	// a best-effort step, which come after the others.
+	order time.Duration
 }
 
 func (p *Planner) rankStep(now time.Duration, s *stepState) candidate {
@@ -155,6 +158,7 @@
 		s.job.starved = true
 		c.rank = rankStarved
 	}
+	c.order = c.slack
 	return c
 }
 
@@ -169,10 +173,18 @@
 func (a candidate) compare(b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.fairness(), b.fairness()), cmp.Compare(a.order, b.order),
 	)
 }
 
+// fairness is 1 for a candidate that is ordered by its fair end, and 0 for one ordered by its slack.
+func (c candidate) fairness() int {
+	if c.sharesFairly() {
+		return 1
+	}
+	return 0
+}
+
 // planStarts assigns waiting tasks to runners, the most urgent first.
 func (p *Planner) planStarts(now time.Duration) {
 	startsBefore := len(p.starts)
@@ -198,6 +210,7 @@
 	p.waitingSteps = kept
 	slices.SortStableFunc(candidates, candidate.compare)
 	p.deferOccurrences(now, candidates)
+	p.setFairOrder(candidates)
 	slices.SortStableFunc(candidates, candidate.compare)
 	excludeEjected := p.ejectionAllowed(now)
 	for _, c := range candidates {
