--- a/internal/planner/interference_test.go
+++ b/internal/planner/interference_test.go
@@ -284,3 +284,52 @@
 	must.Len(t, 1, starts)
 	test.NotEq(t, "b", starts[0].Agent)
 }
+
+// The load of a latency-critical job rises. Guards against a best-effort task that is started where there
+// is headroom at the moment, and throttled while it runs: it must wait, or start elsewhere.
+func TestPattern_LoadRisesWhileBestEffortTaskRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, criticalStep(1, "web")), nil, false)
+	critical := f.plan().Starts
+	must.Len(t, 1, critical)
+	f.trainPressure("web", "heavy", 1)
+	for tail := int64(26); tail < 50; tail += 3 {
+		f.report("a", critical[0].Run, tail)
+		f.now += 250 * time.Millisecond
+	}
+	step := f.jobs[critical[0].Run.Task.Job].open[0].steps
+	must.Greater(t, headroomGoal+0.25, f.headroom(f.now, &step[0]), must.Sprint("there is headroom now"))
+	f.add(testJob(2, bestEffortStep("heavy")), nil, false)
+	must.Len(t, 0, f.plan().Starts)
+	f.agent("b")
+	f.now += bestEffortRetryDelay
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, "b", starts[0].Agent)
+}
+
+// Latency-critical images suffer from the same or from different best-effort images. Guards against mixing
+// images on one runner so that hardly any best-effort image can run there.
+func TestPattern_LatencyCriticalImagesCompeteForDifferentResources(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.agent("b")
+	for _, image := range []string{"cache-1", "cache-2"} {
+		f.trainPressure(image, "scan", 10)
+		f.trainPressure(image, "solve", 0.5)
+	}
+	f.trainPressure("cpu", "scan", 0.5)
+	f.trainPressure("cpu", "solve", 10)
+	f.add(testJob(1, criticalStep(1, "cpu")), nil, false)
+	f.add(testJob(2, func() job.Step { s := criticalStep(1, "cache-1"); s.CPU = 14_000; return s }()), nil, false)
+	agents := map[string]string{}
+	for _, s := range f.plan().Starts {
+		agents[s.Step.Image] = s.Agent
+	}
+	must.NotEq(t, agents["cpu"], agents["cache-1"])
+	f.add(testJob(3, func() job.Step { s := criticalStep(1, "cache-2"); s.CPU = 1_000; return s }()), nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 1, starts)
+	test.Eq(t, agents["cache-1"], starts[0].Agent)
+}
