--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"bamboowood/internal/boottime"
 	"bamboowood/internal/contain"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
@@ -100,9 +101,8 @@
 	// acceptRetryPause is the pause after an attempt to store a job or cancel whose
 	// outcome is unknown.
 	acceptRetryPause = 50 * time.Millisecond
-	// outageRetryAfter is the RetryAfter while the store or the leader is unavailable.
-	// Outages of the store last seconds, and 1 s is the least that the HTTP header can
-	// express.
+	// outageRetryAfter is the RetryAfter of other requests than submissions while the leader or
+	// the store is unavailable: 1 s is the least that the HTTP header can express.
 	outageRetryAfter = time.Second
 )
 
@@ -117,6 +117,7 @@
 	MaxSettingsAge time.Duration
 
 	capacities capacityCache
+	outage     outage
 }
 
 // Site gives access to the operator settings; site.Watcher implements it.
@@ -155,6 +156,7 @@
 			err = combineErrors(err, s.Leader.Store(ctx, j))
 		}
 		if err == nil {
+			s.outage.ended()
 			countRequest("accepted")
 			logger.WithField("took_ms", time.Since(began).Milliseconds()).Info("job accepted")
 			s.notifyLeader("accepted job", func() { s.Leader.JobAccepted(context.WithoutCancel(ctx), j) })
@@ -164,7 +166,7 @@
 		if refused && !unconfirmed {
 			countRequest(StoreUnavailable)
 			logger.WithError(err).Warn("job refused")
-			return &RefusedError{Reason: StoreUnavailable, RetryAfter: outageRetryAfter}
+			return &RefusedError{Reason: StoreUnavailable, RetryAfter: s.outage.refused(boottime.Now())}
 		}
 		unconfirmed = unconfirmed || !refused
 		logger.WithError(err).Warn("job may have been stored")
