supervisor: the first process of a boot reports at once that it has no runner

Each process starts runs only once its boot is registered, and the runs of earlier boots ended with the VM, so the first process of a boot knows of all runs.

--- a/internal/supervisor/boot_test.go
+++ b/internal/supervisor/boot_test.go
@@ -72,3 +72,42 @@
 		test.Len(t, 1, h.fake.starts)
 	})
 }
+
+// Guards against a wait for the lease of an earlier process on a machine without a runner, where nothing can
+// have been started since the boot, and against taking a runner that reports later for one without runs.
+func TestSupervisor_FirstProcessWithoutRunner(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.mu.Lock()
+		h.bootRegistered = false
+		h.mu.Unlock()
+		_, ok := h.Snapshot()
+		test.False(t, ok, test.Sprint("the boot is not registered"))
+		h.BootRegistered(true)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Nil(t, snapshot.Runner)
+		test.Zero(t, snapshot.UnlistedFor)
+		h.fake.setRenewErr(errNoAnswer)
+		h.mu.Lock()
+		h.setIncarnation(&job.Runner{ID: "i-3", Service: "desk", StartTime: 1, Sequence: 1}, "")
+		h.mu.Unlock()
+		_, ok = h.Snapshot()
+		test.False(t, ok, test.Sprint("the runner has not listed its runs"))
+	})
+}
+
+// Guards against a snapshot without a runner that is sent at once although an earlier process in this boot
+// may have started runs, also if the registration of the boot comes late.
+func TestSupervisor_LaterProcessWithoutRunnerWaits(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.BootRegistered(false)
+		_, ok := h.Snapshot()
+		test.False(t, ok)
+		time.Sleep(bootRegistrationWait)
+		_, ok = h.Snapshot()
+		test.False(t, ok)
+		time.Sleep(h.opts.MaxLease)
+		_, ok = h.Snapshot()
+		test.True(t, ok)
+	})
+}
--- a/internal/supervisor/snapshot.go
+++ b/internal/supervisor/snapshot.go
@@ -6,15 +6,19 @@
 	"bamboowood/internal/job"
 )
 
-// runsKnown reports whether s.runs has all runs that may be alive.
-func (s *Supervisor) runsKnown() bool { return s.runsListed || s.opts.Now() >= s.runsKnownAt }
+// runsKnown reports whether s.runs has all runs that may be alive. Without a runner in a boot of which this
+// is the first process, only this process can have started any.
+func (s *Supervisor) runsKnown() bool {
+	return s.runsListed || s.firstOfBoot && s.runner == nil || s.opts.Now() >= s.runsKnownAt
+}
 
 // BootRegistered records that the ledger has the boot of the VM in which this process runs. No earlier
-// process of the agent can have given a lease in this boot if this one is the first.
+// process of the agent can have given a lease or started a run in this boot if this one is the first: each
+// starts runs only once its boot is registered, and the runs of earlier boots ended with the VM.
 func (s *Supervisor) BootRegistered(first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bootRegistered = true
+	s.bootRegistered, s.firstOfBoot = true, first
 	if first {
 		s.earlierLeaseUntil = 0
 	}
@@ -23,8 +27,8 @@
 
 // Snapshot returns the full state: the runner, all runs that may be alive and all ends
 // that are not stored. It discards pending updates. ok is false until the runner has
-// listed its runs or all earlier leases have expired, and shortly while the boot of the VM is being
-// registered.
+// listed its runs, all earlier leases have expired or there is no runner in a boot of which this is the first
+// process, and shortly while the boot of the VM is being registered.
 func (s *Supervisor) Snapshot() (u Update, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -169,8 +169,10 @@
 	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
 	earlierLeaseUntil time.Duration
 	// bootRegistered is set once the ledger has that this process runs in the current boot of the VM.
-	// Until bootAwaitedUntil a snapshot waits for that.
+	// Until bootAwaitedUntil a snapshot waits for that. firstOfBoot is set if no earlier process of this
+	// agent registered in that boot.
 	bootRegistered   bool
+	firstOfBoot      bool
 	bootAwaitedUntil time.Duration
 	// restarted is set while the runner has restarted under the same id and has not listed
 	// its runs yet. Starts meant for the previous incarnation may have reached the new one.
