supervisor: a runner that left ends the wait that its restart began

Cause: a restart of the runner under its id sets the time from which all runs are known to two leases later.

--- a/internal/supervisor/boot_test.go
+++ b/internal/supervisor/boot_test.go
@@ -111,3 +111,21 @@
 		test.True(t, ok)
 	})
 }
+
+// Guards against a wait of two leases, begun by a restart of the runner, that goes on after the runner has
+// announced its end and ended.
+func TestSupervisor_RestartedRunnerLeaves(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.fake.setRenewErr(runner.ErrNoListener)
+		h.mu.Lock()
+		h.setIncarnation(&job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}, "")
+		h.mu.Unlock()
+		h.RunnerLeft("i-1", 200)
+		time.Sleep(2 * noListenerTimeout)
+		time.Sleep(h.opts.MaxLease)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Nil(t, snapshot.Runner)
+	})
+}
