leader: the wait for silent agents counts from the last possible grant

Cause: a new leader waited for silent agents for grantValidity, a lease and a margin from the begin of its term, although the end of the earlier leader's grants is often known.

Change: after a resignation the wait counts from the reading of the resigned term; after missing renewals, from the first sight of the last one. A resigning leader stores for how long the leaders before it may still extend leases, since one that has lost the store may outlast a short term in between.

The model test draws resignations.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	r.addUnreportedAgents(agents, began+grantValidity+r.opts.LeaseDuration+leaseMargin)
+	r.addUnreportedAgents(agents, r.grants.leasesExpire(r.opts.LeaseDuration))
 	contents, err := r.readJobs()
 	if err != nil {
 		return err
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -126,6 +126,7 @@
 	if err != nil {
 		return err
 	}
+	readAt := l.opts.Now()
 	seen := l.term.Load().Number
 	if term.Unreadable {
 		unreadableTerms.Inc()
@@ -133,12 +134,14 @@
 	} else {
 		l.observe(term)
 	}
-	renewal := ledger.NoLeader
+	renewal, grants := ledger.NoLeader, boundOfResigned(term, readAt)
 	if !l.leaderless(term) {
+		var since time.Duration
 		var expired bool
-		if renewal, expired, err = l.watch(ctx, term, version); err != nil || !expired {
+		if renewal, since, expired, err = l.watch(ctx, term, version); err != nil || !expired {
 			return err
 		}
+		grants = boundOfUnrenewed(term, since)
 	}
 	process := fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed)
 	if term.Process != process {
@@ -158,7 +161,7 @@
 	// A term that this process has led is not resumed, because its run numbers are used:
 	// the counter gives the next term another process name.
 	l.termsLed++
-	return l.lead(ctx, held, sent)
+	return l.lead(ctx, held, sent, grants)
 }
 
 func (l *Leader) observe(term ledger.Term) {
@@ -207,8 +210,11 @@
 
 // watch returns true once the version of the term's renewal has been unchanged for
 // takeoverAfter, and false when the term has changed. The leader may renew the term until the
-// next one begins, so the call that begins it must expect the returned version.
-func (l *Leader) watch(ctx context.Context, term ledger.Term, version int64) (renewal int64, expired bool, err error) {
+// next one begins, so the call that begins it must expect the returned version. It has been the
+// version since a time at the latest.
+func (l *Leader) watch(
+	ctx context.Context, term ledger.Term, version int64,
+) (renewal int64, since time.Duration, expired bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changed := make(chan error, 1)
@@ -220,9 +226,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return 0, false, ctx.Err()
+			return 0, 0, false, ctx.Err()
 		case err := <-changed:
-			return 0, false, err
+			return 0, 0, false, err
 		case <-ticker.C:
 		}
 		renewal, err = l.opts.Ledger.RenewalVersion(ctx)
@@ -235,7 +241,7 @@
 			l.opts.Logger.WithFields(log.Fields{
 				"renewal": renewal, "age": (now - unchangedSince).String(),
 			}).Warn("leader stopped renewing its term")
-			return renewal, true, nil
+			return renewal, unchangedSince, true, nil
 		}
 	}
 }
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -53,6 +53,8 @@
 	planPanics int
 	// overTargetLoggedAt is when tasks over their target were last logged.
 	overTargetLoggedAt time.Duration
+	// grants bounds until when leaders of earlier terms extend leases.
+	grants grantsBound
 	// renewedAt is when the last successful term renewal was sent.
 	renewedAt time.Duration
 
@@ -70,15 +72,16 @@
 }
 
 // lead leads a term until it ends. sent is when the call that began the term was sent. The
-// term is renewed and agents get leases while the ledger is still being read.
-func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration) error {
+// term is renewed and agents get leases while the ledger is still being read. grants is known if
+// the end of the previous term is.
+func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound) error {
 	opts := l.opts
 	opts.Planner.Term = term.Term.Number
 	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		grants: grants.or(boundAtBegin(l.opts.Now())), renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -96,6 +99,9 @@
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
 	}
+	// No lease is extended any more: the sessions have ended.
+	earlier := r.grants.left(l.opts.Now()).Milliseconds()
+	term.Term.EarlierGrantsMillis = &earlier
 	l.resign(term, opts.Logger)
 	return err
 }
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -32,6 +32,9 @@
 	Process string `json:"process"`
 	// Resigned reports whether the leader has resigned from the term.
 	Resigned bool `json:"resigned,omitempty"`
+	// EarlierGrantsMillis is for how long after the resignation the leaders of earlier terms may still extend
+	// the leases of agents; nil if unknown, which it is unless the leader has resigned.
+	EarlierGrantsMillis *int64 `json:"earlier_grants_ms,omitempty"`
 	// Unreadable is set if the row cannot be decoded or its number is out of range. Another
 	// writer has replaced it; which term it was is unknown.
 	Unreadable bool `json:"-"`
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -168,9 +168,13 @@
 	m.term++
 	m.drawSkew()
 	m.p = New(Options{Term: m.term, EarlyStart: modelEarlyStart, EndedRetention: time.Hour, RemoteFactor: 1.5})
+	grant := modelGrant
+	if rapid.Bool().Draw(m.t, "resigned") {
+		grant = 0
+	}
 	for id, a := range m.agents {
 		a.connected = false
-		m.p.AddUnreportedAgent(id, m.now+modelGrant+modelLease+modelSlack)
+		m.p.AddUnreportedAgent(id, m.now+grant+modelLease+modelSlack)
 	}
 	for _, j := range m.jobs {
 		m.p.AddJob(m.instant(), j, m.ledger[j.ID], true)
