leader: no starts before the operator settings have been read in the term

Cause: a leader passed the site watcher's state to the planner, which is empty until the process has read the table. An entry that had lost the store for long and then led would have planned with the drained zones of that time.

Change: a plan starts nothing until the settings are known to be no older than 3 s before the begin of the term, from the store or from a peer. Stops, throttles and grants go on. The inputs of a plan have names (term-renewal, operator-settings, agents), with a counter of held plans, a gauge of the time, and a log line when one is missing and when it is there again.

TestLeader_NoStartsBeforeSettingsAreRead fails without the check.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -169,7 +169,7 @@
 	jobLeader := leader.New(leader.Options{
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
-		Site: siteWatcher.State, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
+		Site: siteWatcher.State, SettingsAge: siteWatcher.ReadAge, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.EarlyStart, EndedRetention: n.node.Bounds.StatusRetention,
 			RemoteFactor: n.node.Bounds.RemoteFactor,
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -54,6 +54,9 @@
 	Address, Process string
 	// Site returns the operators' current settings.
 	Site func() *site.State
+	// SettingsAge returns an upper bound of the time since they were the store's latest; known is false before
+	// they have been read. If it is nil, they count as read.
+	SettingsAge func() (age time.Duration, known bool)
 	// Snapshot returns them for another entry that has those of version after.
 	Snapshot func(after int64) (snapshot site.Snapshot, known bool)
 	// Now is a monotonic clock that includes the time in which the machine was
--- /dev/null
+++ b/internal/leader/inputs_test.go
@@ -0,0 +1,80 @@
+package leader
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+	"bamboowood/internal/site"
+)
+
+// Guards against a leader that plans before it has read the drained zones (review/7): it started tasks in a
+// zone that had been drained long before. Leases are extended and cancelled jobs stopped meanwhile.
+func TestLeader_NoStartsBeforeSettingsAreRead(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	var read atomic.Bool
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(2).ID}, Number: 1})
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	for n := range 2 {
+		must.NoError(t, jobLedger.Accept(t.Context(), testJob(n+1)))
+	}
+	must.NoError(t, jobLedger.Cancel(t.Context(), testJob(2).ID))
+	runLeaderWith(t, jobLedger, func(o *Options) {
+		o.SettingsAge = func() (time.Duration, bool) { return 0, read.Load() }
+		state := o.Site
+		o.Site = func() *site.State {
+			if read.Load() {
+				return &site.State{Config: state().Config, Drained: map[string]bool{"z1": true}}
+			}
+			return &site.State{}
+		}
+	})
+	a.await(t, hasGrant)
+	a.await(t, hasStops)
+	time.Sleep(time.Second)
+	test.Zero(t, a.count(hasStarts))
+	read.Store(true)
+	time.Sleep(4 * planInterval)
+	test.Zero(t, a.count(hasStarts), test.Sprint("the zone is drained"))
+}
+
+// Guards against settings that count as read although they were read before the process lost the store, and
+// against a leader that never starts anything.
+func TestSettingsRead(t *testing.T) {
+	const began = time.Hour
+	for name, c := range map[string]struct {
+		now, age time.Duration
+		known    bool
+		want     bool
+	}{
+		"never":                {began, 0, false, false},
+		"just before the term": {began, time.Second, true, true},
+		"long before the term": {began, time.Minute, true, false},
+		"within the term":      {began + time.Hour, time.Second, true, true},
+		"read once in it":      {began + time.Hour, time.Hour, true, true},
+	} {
+		test.Eq(t, c.want, settingsRead(c.now, began, c.age, c.known), test.Sprint(name))
+	}
+}
+
+// Guards against a log line in each plan, and against a held plan whose end is not logged.
+func TestHeldInputs(t *testing.T) {
+	h := newHeldInputs()
+	update := func(now time.Duration, missing, wantReport bool, wantHeld time.Duration) {
+		t.Helper()
+		held, report := h.update(now, inputAgents, missing)
+		test.Eq(t, wantReport, report)
+		test.Eq(t, wantHeld, held)
+	}
+	update(time.Hour, false, false, 0)
+	update(time.Hour, true, true, 0)
+	update(time.Hour+planInterval, true, false, planInterval)
+	update(time.Hour+heldLogInterval, true, true, heldLogInterval)
+	update(time.Hour+heldLogInterval, false, true, heldLogInterval)
+	update(time.Hour+heldLogInterval, false, false, 0)
+}
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -53,6 +53,9 @@
 	planPanics int
 	// overTargetLoggedAt is when tasks over their target were last logged.
 	overTargetLoggedAt time.Duration
+	// began is when this process had begun the term, or later.
+	began time.Duration
+	held  heldInputs
 	// grants bounds until when leaders of earlier terms extend leases.
 	grants grantsBound
 	// renewedAt is when the last successful term renewal was sent.
@@ -75,13 +78,13 @@
 // term is renewed and agents get leases while the ledger is still being read. grants is known if
 // the end of the previous term is.
 func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound) error {
-	opts := l.opts
+	opts, began := l.opts, l.opts.Now()
 	opts.Planner.Term = term.Term.Number
 	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		grants: grants.or(boundAtBegin(l.opts.Now())), renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		began: began, held: newHeldInputs(), grants: grants.or(boundAtBegin(began)), renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -91,6 +94,7 @@
 		signal(r.wakeRenew)
 	}
 	termsLedTotal.Inc()
+	defer resetHeld()
 	defer l.leadership.Store(nil)
 	r.run("renewals", r.renewLoop)
 	r.run("load", r.recoverState)
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -93,7 +93,7 @@
 // planOnce returns the orders of one plan at now. A job that makes the planner panic is quarantined.
 func (r *leadership) planOnce(now time.Duration) (orders planner.Orders, err error) {
 	err = contain.Do(r.opts.Logger, "planner", func() error {
-		orders = r.planner.Plan(planner.Instant{Mono: now, Wall: time.Now()}, now < r.renewedAt+startValidity)
+		orders = r.planner.Plan(planner.Instant{Mono: now, Wall: time.Now()}, r.mayStart(now))
 		return nil
 	})
 	if err == nil {
--- a/internal/planner/unlisted.go
+++ b/internal/planner/unlisted.go
@@ -23,6 +23,17 @@
 // Tasks of recovered jobs are not started until it is 0.
 func (p *Planner) UnreportedAgents() int { return p.unreported }
 
+// AwaitedAgents returns their ids.
+func (p *Planner) AwaitedAgents() []string {
+	var ids []string
+	for _, a := range p.orderedAgents {
+		if a.awaited {
+			ids = append(ids, a.id)
+		}
+	}
+	return ids
+}
+
 // expireUnlisted drops the detached runs of an agent that cannot be alive any more.
 func (p *Planner) expireUnlisted(now time.Duration, a *agent) {
 	for _, r := range a.runs {
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -61,6 +61,8 @@
 	// confirmedAt is a time, by Now, at which State was the store's latest state; 0 before the
 	// first read.
 	confirmedAt atomic.Int64
+	// readAt is like confirmedAt, but also set if some rows could not be decoded.
+	readAt atomic.Int64
 	// failing is set while the store does not answer reads of the settings.
 	failing atomic.Bool
 
@@ -97,6 +99,15 @@
 	return w.Now() - confirmedAt, true
 }
 
+// ReadAge is like Age, but also known if State lacks rows that could not be decoded. Drained zones always can be.
+func (w *Watcher) ReadAge() (age time.Duration, known bool) {
+	readAt := time.Duration(w.readAt.Load())
+	if readAt == 0 {
+		return 0, false
+	}
+	return w.Now() - readAt, true
+}
+
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.registerGauges()
@@ -183,6 +194,7 @@
 // confirm records that the rows were the store's latest at a time. State is not of that age if it
 // lacks one of them. It is called with the lock held.
 func (w *Watcher) confirm(at time.Duration) {
+	w.readAt.Store(max(w.readAt.Load(), int64(at)))
 	if len(w.undecoded) > 0 {
 		return
 	}
