leader: lost agents are recorded in their registration

Cause: a lost agent kept its registration until the leader had waited out its lease, so that each change of leaders in that time began the whole wait again, for all recovered jobs.

Change: after 1 s without a session the leader writes into the agent's row until when runs may be alive there, on the store's clock. A later leader waits until then, and not at all with jobs accepted after the record. From before the write until the agent has been registered again, the leader grants it no lease and applies nothing from it.

--- a/internal/leader/agents.go
+++ b/internal/leader/agents.go
@@ -19,20 +19,26 @@
 // updateRegistrations removes the registrations of dead agents, so that a later leader does
 // not wait for their reports, and registers agents again that have reconnected.
 //
-// Nothing is started on an agent without a registration: a later leader would not wait for its
-// report and would start the same task elsewhere.
+// Nothing is started on an agent without a registration, or with one that says that the agent is lost: a
+// later leader would not wait for its report, or not as long as its lease, and would start the same
+// task elsewhere.
 func (r *leadership) updateRegistrations() error {
 	r.mu.Lock()
 	for _, id := range r.planner.TakeDeadAgents() {
 		r.deadAgents[id] = true
 	}
 	var dead, returned []*agentConn
+	for id, conn := range r.conns {
+		if !conn.registered && (len(conn.buffered) > 0 || conn.inSession && !r.planner.AgentDead(id)) {
+			returned = append(returned, conn)
+		}
+	}
 	for id := range r.deadAgents {
 		switch conn := r.conns[id]; {
 		case conn == nil || conn.registered && !r.planner.AgentDead(id):
 			delete(r.deadAgents, id)
-		case len(conn.buffered) > 0:
-			returned = append(returned, conn)
+		case !conn.registered && len(conn.buffered) > 0:
+			// registered again below
 		case r.planner.AgentDead(id):
 			conn.registered = false
 			dead = append(dead, conn)
@@ -82,17 +88,21 @@
 	r.opts.Logger.WithField("agent", conn.id).Info("agent registered again")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	conn.setRegistered(r.opts.Now(), version)
+	conn.setRegistered(r.opts.Now(), ledger.Agent{Address: address, Version: version})
 	return nil
 }
 
 // setRegistered records a registration if its version is newer, and applies the buffered
-// messages. It is called with the lock held.
-func (c *agentConn) setRegistered(now time.Duration, version int64) {
-	if version <= c.version {
+// messages unless it says that the agent is lost. It is called with the lock held.
+func (c *agentConn) setRegistered(now time.Duration, a ledger.Agent) {
+	if a.Version <= c.version {
+		return
+	}
+	c.version, c.registered = a.Version, a.Lost == ledger.Lost{}
+	if !c.registered {
+		c.recordedVersion = a.Version
 		return
 	}
-	c.version, c.registered = version, true
 	if c.leadership.recovered {
 		c.applyBuffered(now)
 	}
--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"github.com/apex/log"
 
@@ -17,6 +16,11 @@
 func (r *leadership) recoverState() error {
 	began := r.opts.Now()
 	var agentsVersion int64
+	// The clock is read before the registrations, so that it is not later than any record that is read.
+	clock, err := retryRead(r, "store clock", r.readStoreClock)
+	if err != nil {
+		return err
+	}
 	agents, err := retryRead(r, "agents", func() (agents map[string]ledger.Agent, err error) {
 		agents, agentsVersion, err = r.opts.Ledger.Agents(r.ctx)
 		return agents, err
@@ -24,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	r.addUnreportedAgents(agents, r.grants.leasesExpire(r.opts.LeaseDuration))
+	r.addUnreportedAgents(agents, clock)
 	contents, err := r.readJobs()
 	if err != nil {
 		return err
@@ -38,6 +42,7 @@
 	r.leader.leadership.Store(r)
 	r.run("plans", r.planLoop)
 	r.run("commits", r.commitLoop)
+	r.run("lost agents", r.recordLostLoop)
 	r.run("jobs", func() error { return r.followJobs(contents.Version) })
 	r.run("cancels", func() error { return r.followCancels(contents.Version) })
 	r.run("agents", func() error { return r.followAgents(agentsVersion) })
@@ -71,6 +76,7 @@
 	r.quarantineUnknownProgress(c)
 	for _, j := range c.Jobs {
 		r.addJob(now, j, c.Progress[j.ID], true)
+		r.planner.JobAcceptedAt(j.ID, c.JobVersions[j.ID])
 	}
 	for _, e := range c.HeldEnds {
 		r.applyEnd(now.Mono, "", e)
@@ -117,12 +123,16 @@
 }
 
 // addUnreportedAgents adds all agents to the planner as unreported, since they may have runs of
-// an earlier leader until expiresAt. Sessions start only after all agents have been added.
-func (r *leadership) addUnreportedAgents(agents map[string]ledger.Agent, expiresAt time.Duration) {
+// an earlier leader until their leases have expired. Sessions start only after all agents have been added.
+func (r *leadership) addUnreportedAgents(agents map[string]ledger.Agent, clock storeClock) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id := range agents {
-		r.planner.AddUnreportedAgent(id, expiresAt)
+	bound := r.grants.leasesExpire(r.opts.LeaseDuration)
+	for id, a := range agents {
+		r.planner.AddUnreportedAgent(id, clock.expiry(a.Lost, bound))
+		if a.Lost != (ledger.Lost{}) {
+			r.planner.AgentLostAt(id, a.Version)
+		}
 	}
 	for id, a := range agents {
 		r.addConn(id, a)
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -26,7 +26,9 @@
 	received []receivedMessage
 	// noRunner means that it has no runner, noSnapshot that it sends only heartbeats.
 	noRunner, noSnapshot bool
-	sessions             []wire.Session
+	// refuse means that it closes each connection at once.
+	refuse   bool
+	sessions []wire.Session
 	// laterTerm, unless 0, is the term that it claims to have seen.
 	laterTerm int64
 	// updated are the runs whose activity the next message reports.
@@ -83,6 +85,12 @@
 			if err != nil {
 				return
 			}
+			refused := false
+			a.set(func() { refused = a.refuse })
+			if refused {
+				_ = conn.Close()
+				continue
+			}
 			go a.serve(ctx, conn)
 		}
 	}()
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -59,9 +59,13 @@
 	// storedEnds are the ends of which the agent has been notified as stored in this session.
 	storedEnds endSequence
 	// version is the version of the agent's latest registration, removedVersion of the one
-	// removed last. If registered is false, the registration may have been removed.
-	version, removedVersion int64
-	registered              bool
+	// removed last, recordedVersion of the one that says that the agent is lost. If registered is false,
+	// the registration may have been removed or say so.
+	version, removedVersion, recordedVersion int64
+	registered                               bool
+	// inSession is set while a session has messages of the agent; lostSince is when the last one ended.
+	inSession bool
+	lostSince time.Duration
 	// buffered holds the messages received before the planner was recovered from the ledger or
 	// while the agent was not registered.
 	buffered []*wirepb.AgentMessage
@@ -88,12 +92,13 @@
 	}
 	if conn := r.conns[id]; conn != nil {
 		conn.address = cmp.Or(a.Address, conn.address)
-		conn.setRegistered(r.opts.Now(), a.Version)
+		conn.setRegistered(r.opts.Now(), a)
 		return
 	}
 	conn := &agentConn{
-		leadership: r, id: id, address: a.Address, version: a.Version, registered: true, outPending: make(chan struct{}, 1),
+		leadership: r, id: id, address: a.Address, lostSince: r.opts.Now(), outPending: make(chan struct{}, 1),
 	}
+	conn.setRegistered(r.opts.Now(), a)
 	r.conns[id] = conn
 	r.run("session", conn.run)
 }
@@ -262,6 +267,7 @@
 	c.out = nil
 	c.outMu.Unlock()
 	c.buffered = nil
+	c.inSession, c.lostSince = false, r.opts.Now()
 	r.planner.AgentLost(c.id, c.grantedAt+r.opts.LeaseDuration+leaseMargin)
 	r.signalChange()
 }
@@ -272,6 +278,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
+	c.inSession = true
+	if !c.registered {
+		signal(r.wakeCommit)
+	}
 	if m.Snapshot || connected {
 		c.applyOrBuffer(now, m)
 	}
@@ -285,10 +295,15 @@
 
 // grant extends the agent's lease. Until the agent has sent its snapshot, the lease must not
 // outlast the time for which the planner waits for its report: after that time its tasks are
-// started on other agents.
+// started on other agents. An agent that may be recorded as lost gets an empty message, which
+// keeps the session, until it is registered again.
 func (c *agentConn) grant(now time.Duration, heartbeat int64, reported bool) {
 	r := c.leadership
 	duration := r.opts.LeaseDuration
+	if !c.registered {
+		c.send(func(*wirepb.LeaderMessage) {})
+		return
+	}
 	if reported {
 		r.planner.AgentLeaseExtended(c.id, now+duration+leaseMargin)
 	} else if at, bounded := r.planner.LeaseExpiry(c.id); bounded {
--- /dev/null
+++ b/internal/leader/lost_test.go
@@ -0,0 +1,123 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/wire/wirepb"
+)
+
+// recordAsLost has an earlier leader record an agent as lost for some time, and resign.
+func recordAsLost(t *testing.T, jobLedger *ledger.Ledger, agent string, left time.Duration) {
+	old, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.2:1", "p2/0")
+	must.NoError(t, err)
+	agents, _, err := jobLedger.Agents(t.Context())
+	must.NoError(t, err)
+	now, err := jobLedger.StoreTime(t.Context())
+	must.NoError(t, err)
+	a := agents[agent]
+	versions, err := old.RecordLost(t.Context(), []ledger.LostAgent{{
+		Name: agent, Address: a.Address, Version: a.Version, Lost: ledger.Lost{At: now, Until: now + left},
+	}})
+	must.NoError(t, err)
+	must.MapLen(t, 1, versions)
+	must.NoError(t, old.Resign(t.Context()))
+}
+
+// Guards against a leader that waits for an agent again which an earlier one recorded as lost, and against one
+// that waits for it with jobs which were accepted after that.
+func TestLeader_RecordedAgent(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	b := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", "127.0.0.1:1"))
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	began := boottime.Now()
+	recordAsLost(t, jobLedger, "a", 2*time.Second)
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(2)))
+	runLeader(t, jobLedger)
+	start := func(n int) time.Duration {
+		return b.await(t, func(m *wirepb.LeaderMessage) bool {
+			return len(m.Starts) > 0 && m.Starts[0].Details.Run.Task == job.Task{Job: testJob(n).ID}.String()
+		}).at - began
+	}
+	test.Less(t, time.Second, start(2))
+	test.Between(t, 2*time.Second, start(1), 4*time.Second)
+}
+
+// Guards against runs that are given a lease, or started, on an agent whose record says that none can be alive
+// there: the next leader would start their tasks elsewhere.
+func TestLeader_RecordedAgentIsRegisteredFirst(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	recordAsLost(t, jobLedger, "a", 5*time.Second)
+	allow := hooked.refuseWrites("agents")
+	runLeader(t, jobLedger)
+	time.Sleep(2 * time.Second)
+	test.Zero(t, a.count(hasGrant))
+	test.Zero(t, a.count(hasStarts))
+	allow()
+	a.await(t, hasStarts)
+	a.await(t, hasGrant)
+	agents, _, err := jobLedger.Agents(t.Context())
+	must.NoError(t, err)
+	test.Eq(t, ledger.Lost{}, agents["a"].Lost)
+}
+
+// Guards against a lost agent that has no record, so that a change of leaders begins the whole wait again, and
+// against a record that stays after the agent has come back.
+func TestLeader_LostAgentIsRecorded(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	runLeader(t, jobLedger)
+	a.await(t, hasGrant)
+	recorded := func() ledger.Lost {
+		agents, _, err := jobLedger.Agents(t.Context())
+		must.NoError(t, err)
+		return agents["a"].Lost
+	}
+	a.closeSessions()
+	time.Sleep(recordLostAfter / 2)
+	test.Eq(t, ledger.Lost{}, recorded(), test.Sprint("a short interruption"))
+	lost := boottime.Now()
+	a.set(func() { a.refuse = true })
+	a.closeSessions()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return recorded() != ledger.Lost{} }),
+		wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+	now, err := jobLedger.StoreTime(t.Context())
+	must.NoError(t, err)
+	expires := boottime.Now() + recorded().Until - now
+	test.Between(t, lost+4*time.Second, expires, lost+5*time.Second+2*leaseMargin+time.Second/2)
+	a.set(func() { a.refuse = false })
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return recorded() == ledger.Lost{} }),
+		wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+// Guards against a time on the store's clock that is taken for passed too early, or for passed in the future of a
+// store whose clock was reset.
+func TestStoreClock(t *testing.T) {
+	c := storeClock{before: time.Hour, after: time.Hour + time.Second, store: time.Minute}
+	test.GreaterEq(t, time.Minute+10*time.Second, c.latest(time.Hour+10*time.Second))
+	test.GreaterEq(t, time.Hour+11*time.Second, c.passed(time.Minute+10*time.Second))
+	test.Eq(t, c.after, c.passed(time.Second))
+	bound := 2 * time.Hour
+	test.Eq(t, c.passed(time.Minute+time.Second), c.expiry(ledger.Lost{At: time.Second, Until: time.Minute + time.Second}, bound))
+	test.Eq(t, bound, c.expiry(ledger.Lost{At: time.Minute + 1, Until: time.Minute + time.Second}, bound), test.Sprint("reset"))
+	test.Eq(t, bound, c.expiry(ledger.Lost{}, bound))
+	test.Eq(t, bound, storeClock{}.expiry(ledger.Lost{At: 1, Until: 2}, bound))
+	test.Eq(t, c.after, c.expiry(ledger.Lost{At: time.Second, Until: time.Minute}, c.after), test.Sprint("never later than the bound"))
+}
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -30,8 +30,11 @@
 	// Address is empty if it is not an IP address with a port: another writer has replaced the
 	// row, and the agent may still have runs.
 	Address string
-	// Version changes with each registration.
+	// Version changes with each registration and each record.
 	Version int64
+	// Lost is the record of a lost agent. Nothing may be started on the agent or granted to it before it is
+	// registered again without one.
+	Lost Lost
 }
 
 // Agents returns all registered agents by name, and the version from which FollowAgents
@@ -57,7 +60,8 @@
 	found := map[string]Agent{}
 	for _, row := range rows {
 		if !row.Deleted && row.Part == mainPart {
-			found[row.Key] = Agent{Address: usableAddress(row.Value), Version: row.Version}
+			address, lost := decodeRegistration(row.Value)
+			found[row.Key] = Agent{Address: address, Version: row.Version, Lost: lost}
 		}
 	}
 	return found
@@ -87,8 +91,8 @@
 	return conflictAsDeposed(err)
 }
 
-// ReregisterAgent registers an agent again after its registration was deleted, and returns the
-// version of the new registration.
+// ReregisterAgent registers an agent again after its registration was deleted or got a record, and returns
+// the version of the new registration. A record that is written late then finds another version.
 func (h *HeldTerm) ReregisterAgent(ctx context.Context, name, address string) (int64, error) {
 	version, err := h.ledger.store.Apply(ctx, store.Tx{
 		Expect: []store.Expect{h.expectTerm()},
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -38,6 +38,9 @@
 	// ObsoleteEnds are those of jobs that are not stored or have ended.
 	HeldEnds, ObsoleteEnds []job.End
 
+	// JobVersions holds the versions of the jobs' rows. They are comparable with those of registrations.
+	JobVersions map[string]int64
+
 	progressVersions map[string]int64
 }
 
@@ -140,7 +143,7 @@
 
 func (d *Loader) contents() *Contents {
 	c := &Contents{
-		Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{},
+		Progress: map[string]*planner.Progress{}, progressVersions: map[string]int64{}, JobVersions: map[string]int64{},
 		Version: min(d.jobs[0].version, d.cancels[0].version),
 	}
 	stored, ended := map[string]bool{}, map[string]bool{}
@@ -154,6 +157,7 @@
 	}
 	for _, row := range jobs {
 		stored[row.Key] = true
+		c.JobVersions[row.Key] = row.Version
 		if bytes.Equal(row.Value, compactedJob) {
 			ended[row.Key] = true
 		}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -31,9 +31,12 @@
 	// there are none. awaited is set from a takeover until all runs of earlier planners are known.
 	unlistedUntil time.Duration
 	awaited       bool
-	runner        *job.Runner
-	rack          string
-	runs          map[job.Run]*run
+	// lostAt is the version of the store from which nothing can have been started on an awaited agent; 0 if
+	// unknown.
+	lostAt int64
+	runner *job.Runner
+	rack   string
+	runs   map[job.Run]*run
 	// requested is the sum of the resources requested by all runs, except the CPU of
 	// best-effort runs.
 	requested job.Resources
--- a/internal/planner/model_runner_test.go
+++ b/internal/planner/model_runner_test.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// recordLost records a lost agent in the ledger. The record is removed when it connects again.
+func (m *model) recordLost() {
+	id, a := m.anyAgent()
+	if until, ok := m.p.LeaseExpiry(id); ok && !a.connected && a.lostAt == 0 {
+		m.version++
+		a.lostUntil, a.lostAt = until, m.version
+	}
+}
+
 // restartAgent replaces the process of an agent, and at times its runner meanwhile. The next process knows
 // no run of earlier runners.
 func (m *model) restartAgent() {
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -41,6 +41,9 @@
 	storedAsDone map[job.Task]bool
 	// done holds the tasks with a run that ended as done.
 	done map[job.Task]bool
+	// version is that of the store. acceptedAt has the versions with which the jobs were accepted.
+	version    int64
+	acceptedAt map[string]int64
 }
 
 type modelAgent struct {
@@ -52,6 +55,9 @@
 	lastEnd   int64
 	// startedAt is when the agent's process started.
 	startedAt time.Duration
+	// lostUntil and lostAt are the record of a lost agent; 0 if there is none.
+	lostUntil time.Duration
+	lostAt    int64
 	// runnerSince is when the current runner replaced another one, incarnation the number of runners so
 	// far.
 	runnerSince time.Duration
@@ -153,6 +159,7 @@
 	}
 	a.connected = true
 	a.renewedAt = m.now
+	a.lostUntil, a.lostAt = 0, 0
 	m.p.RunsUnlistedUntil(id, a.unlistedUntil(m.now))
 	m.p.AgentConnected(m.now, id, a.runner(id), append(a.detachedActive(), a.active()...))
 }
@@ -174,10 +181,16 @@
 	}
 	for id, a := range m.agents {
 		a.connected = false
-		m.p.AddUnreportedAgent(id, m.now+grant+modelLease+modelSlack)
+		expiry := m.now + grant + modelLease + modelSlack
+		if a.lostAt != 0 {
+			expiry = min(expiry, a.lostUntil)
+		}
+		m.p.AddUnreportedAgent(id, expiry)
+		m.p.AgentLostAt(id, a.lostAt)
 	}
 	for _, j := range m.jobs {
 		m.p.AddJob(m.instant(), j, m.ledger[j.ID], true)
+		m.p.JobAcceptedAt(j.ID, m.acceptedAt[j.ID])
 	}
 }
 
@@ -319,7 +332,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: time.Hour, ledger: map[string]*Progress{}, agents: map[string]*modelAgent{},
-			storedAsDone: map[job.Task]bool{}, done: map[job.Task]bool{},
+			storedAsDone: map[job.Task]bool{}, done: map[job.Task]bool{}, acceptedAt: map[string]int64{},
 		}
 		for i := range 3 {
 			m.agents[fmt.Sprintf("a%d", i)] = &modelAgent{
@@ -340,6 +353,8 @@
 					j.Queue.MaxAttempts = 1000
 					j.AcceptedAt = m.instant().Wall
 					m.jobs = append(m.jobs, j)
+					m.version++
+					m.acceptedAt[j.ID] = m.version
 					m.p.AddJob(m.instant(), j, nil, false)
 					m.plan()
 				}
@@ -362,6 +377,7 @@
 				}
 			},
 			"take over":           func(*rapid.T) { m.takeOver() },
+			"record lost":         func(*rapid.T) { m.recordLost() },
 			"agent restarts":      func(*rapid.T) { m.restartAgent() },
 			"runner restarts":     func(*rapid.T) { m.restartRunner() },
 			"runner replaced":     func(*rapid.T) { m.replaceRunner() },
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -181,6 +181,7 @@
 		p.starvationLimit = starvationLimitIfIdle
 	}
 	candidates := make([]candidate, 0, len(p.waitingSteps))
+	lastOrders := p.lastUnknownOrders()
 	kept := p.waitingSteps[:0]
 	for _, s := range p.waitingSteps {
 		if s.waitingTasks == 0 || s.job.state.Terminal() {
@@ -189,7 +190,7 @@
 		}
 		kept = append(kept, s)
 		p.currentJob = s.job.job.ID
-		if s.job.recovered && p.unreported > 0 {
+		if s.job.recovered && s.job.acceptedVersion <= lastOrders {
 			continue
 		}
 		candidates = append(candidates, p.rankStep(now, s))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,7 +11,8 @@
 //     any more though its process would know it, or the lease of its agent has
 //     certainly expired.
 //   - A task of a recovered job is not started before each agent has reported all runs
-//     that may be alive there, because a run ordered by an earlier planner may be.
+//     that may be alive there, because a run ordered by an earlier planner may be. Jobs accepted
+//     after an agent was recorded as lost cannot have a run there.
 //   - A task that is done is never started again.
 package planner
 
@@ -127,6 +128,8 @@
 	storedState job.State
 	// recovered jobs may have runs that an earlier planner ordered.
 	recovered bool
+	// acceptedVersion is the version of the store with which a recovered job was accepted; 0 if unknown.
+	acceptedVersion int64
 	// started is set once a runner has confirmed the start of a task. An order alone
 	// does not set it, since it may be refused.
 	started    bool
