planner: recovered latency-critical tasks are started first

Cause: after a change of leaders all recovered tasks may become startable at once, and those of starved or more urgent jobs came before continuous tasks with a latency target.

Change: tasks of a recovered latency-critical step come first until they have run in this term; then the order is as before.

Measured: TestPlan_RecoveredLatencyCriticalTasksFirst fails without the rank. Race tests of planner pass.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -96,11 +96,14 @@
 	return orders
 }
 
-// Ranks of steps: those that can meet their objective come before late ones, those that
+// Ranks of steps: recovered latency-critical ones come first; those that can meet their objective come before late ones, those that
 // have missed their hard deadline come last.
 const (
+	// rankRecovered: latency-critical tasks that an earlier planner may have started and that have not run
+	// under this one.
+	rankRecovered = iota
 	// rankStarved: the job has exceeded the starvation limit; one of its tasks comes first.
-	rankStarved = iota
+	rankStarved
 	rankInTime
 	rankLate
 	rankExpired
@@ -140,6 +143,9 @@
 func (p *Planner) rankStep(now time.Duration, s *stepState) candidate {
 	c := candidate{step: s, priority: s.job.job.Queue.Priority, rank: rankInTime}
 	if s.step.Continuous {
+		if p.isRecovered(s) {
+			c.rank = rankRecovered
+		}
 		return c
 	}
 	// finish is when the occurrence would end if the step started now.
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -35,3 +35,18 @@
 	}
 	return last
 }
+
+// isRecovered reports whether a latency-critical step has a waiting task that has not run in this term, although
+// an earlier planner may have started it.
+func (p *Planner) isRecovered(s *stepState) bool {
+	if !s.job.recovered || s.step.LatencyTarget == 0 {
+		return false
+	}
+	first := p.firstRunNumber()
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.waiting && t.lastRunNumber < first {
+			return true
+		}
+	}
+	return false
+}
