leader: test of recorded agents waits for the stand-in's clock to start

Cause: TestLeader_RecordedAgentIsRegisteredFirst failed in some runs (8 of 48, four processes at a time). The trace shows 'registration has no usable address': the stand-in store's clock was still 0 ms, which stands for an unknown time, and the leader never writes such a record.

Change: the test waits 2 ms before it reads the clock. No check is changed.

--- a/internal/leader/lost_test.go
+++ b/internal/leader/lost_test.go
@@ -20,6 +20,8 @@
 	must.NoError(t, err)
 	agents, _, err := jobLedger.Agents(t.Context())
 	must.NoError(t, err)
+	// The clock of the stand-in begins at 0, which stands for an unknown time.
+	time.Sleep(2 * time.Millisecond)
 	now, err := jobLedger.StoreTime(t.Context())
 	must.NoError(t, err)
 	a := agents[agent]
