--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -127,7 +127,7 @@
 func (r *leadership) addUnreportedAgents(agents map[string]ledger.Agent, clock storeClock) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	bound := r.grants.leasesExpire(r.opts.LeaseDuration)
+	bound := r.grants.leasesExpire(r.began, r.opts.LeaseDuration)
 	for id, a := range agents {
 		r.planner.AddUnreportedAgent(id, clock.expiry(a.Lost, bound))
 		if a.Lost != (ledger.Lost{}) {
--- a/internal/leader/bound.go
+++ b/internal/leader/bound.go
@@ -37,27 +37,25 @@
 	return grantsBound{since + drifted(grantValidity), true}
 }
 
-// boundAtBegin returns the bound for any term that begins at a time or has begun before it.
-func boundAtBegin(at time.Duration) grantsBound {
-	return grantsBound{at + drifted(grantValidity), true}
-}
-
-// or returns the earlier of two bounds.
-func (b grantsBound) or(other grantsBound) grantsBound {
-	if !b.known || other.known && other.until < b.until {
-		return other
+// left returns for how long after now a lease may still be extended, rounded up to milliseconds, by leaders of
+// the terms before one that had begun at a time.
+func (b grantsBound) left(now, began time.Duration) time.Duration {
+	until := began + grantValidity
+	if b.known {
+		until = min(until, b.until)
 	}
-	return b
+	return max(until-now+time.Millisecond-1, 0).Truncate(time.Millisecond)
 }
 
-// left returns for how long after now a lease may still be extended, rounded up to milliseconds.
-func (b grantsBound) left(now time.Duration) time.Duration {
-	return max(b.until-now+time.Millisecond-1, 0).Truncate(time.Millisecond)
-}
-
-// leasesExpire returns when the leases have expired that earlier leaders extended.
-func (b grantsBound) leasesExpire(lease time.Duration) time.Duration {
-	return b.until + drifted(lease) + leaseMargin
+// leasesExpire returns when the leases have expired that leaders of the terms before one that had begun at a
+// time extended. There is no allowance for drift if they are counted from the begin, as before: the last renewal
+// of the earlier leader was sent before the election.
+func (b grantsBound) leasesExpire(began, lease time.Duration) time.Duration {
+	expire := began + grantValidity + lease + leaseMargin
+	if b.known {
+		expire = min(expire, b.until+drifted(lease)+leaseMargin)
+	}
+	return expire
 }
 
 // drifted returns by when a time has passed on any clock.
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -84,7 +84,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		began: began, held: newHeldInputs(), grants: grants.or(boundAtBegin(began)), renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		began: began, held: newHeldInputs(), grants: grants, renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -104,7 +104,7 @@
 		return nil
 	}
 	// No lease is extended any more: the sessions have ended.
-	earlier := r.grants.left(l.opts.Now()).Milliseconds()
+	earlier := r.grants.left(l.opts.Now(), r.began).Milliseconds()
 	term.Term.EarlierGrantsMillis = &earlier
 	l.resign(term, opts.Logger)
 	return err
