leader: attempts to reach an agent do not count as contact

Cause: the end of each session, also of one without a message, began the time anew after which an agent is recorded as lost. An agent whose process accepts sessions but never answers was recorded only once the pauses between attempts had grown.

Change: only the end of a session that had messages does.

--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -26,9 +26,9 @@
 	received []receivedMessage
 	// noRunner means that it has no runner, noSnapshot that it sends only heartbeats.
 	noRunner, noSnapshot bool
-	// refuse means that it closes each connection at once.
-	refuse   bool
-	sessions []wire.Session
+	// refuse means that it closes each connection at once, mute that it sends nothing.
+	refuse, mute bool
+	sessions     []wire.Session
 	// laterTerm, unless 0, is the term that it claims to have seen.
 	laterTerm int64
 	// updated are the runs whose activity the next message reports.
@@ -109,7 +109,12 @@
 	if err != nil {
 		return
 	}
-	a.set(func() { a.sessions = append(a.sessions, session) })
+	mute := false
+	a.set(func() { a.sessions, mute = append(a.sessions, session), a.mute })
+	if mute {
+		<-session.Done()
+		return
+	}
 	go func() {
 		m := a.firstMessage()
 		for ctx.Err() == nil && stream.Send(m) == nil {
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -267,7 +267,9 @@
 	c.out = nil
 	c.outMu.Unlock()
 	c.buffered = nil
-	c.inSession, c.lostSince = false, r.opts.Now()
+	if c.inSession {
+		c.inSession, c.lostSince = false, r.opts.Now()
+	}
 	r.planner.AgentLost(c.id, c.grantedAt+r.opts.LeaseDuration+leaseMargin)
 	r.signalChange()
 }
--- a/internal/leader/lost_test.go
+++ b/internal/leader/lost_test.go
@@ -123,3 +123,47 @@
 	test.Eq(t, bound, storeClock{}.expiry(ledger.Lost{At: 1, Until: 2}, bound))
 	test.Eq(t, c.after, c.expiry(ledger.Lost{At: time.Second, Until: time.Minute}, c.after), test.Sprint("never later than the bound"))
 }
+
+// Guards against a change of leaders that begins the wait for a lost agent again: its task was started only
+// after the grants and the lease that the next leader counts from its own term.
+func TestLeader_LostAgentAcrossTerms(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
+	b := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	l, stop := runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		state, known, _ := l.Status(testJob(1).ID)
+		return known && state == job.Running
+	}), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	// Only heartbeats after the report replace the bound of the term.
+	time.Sleep(500 * time.Millisecond)
+	lost := boottime.Now()
+	a.set(func() { a.refuse = true })
+	a.closeSessions()
+	time.Sleep(recordLostAfter + 2*time.Second)
+	stop()
+	test.Zero(t, b.count(hasStarts))
+	runLeaderWith(t, jobLedger, func(o *Options) { o.Address, o.Process = "10.0.0.2:1", "p2" })
+	// The lease that ended last was granted within the agent's last heartbeat.
+	test.Between(t, lost+4900*time.Millisecond, b.await(t, hasStarts).at, lost+5*time.Second+2*leaseMargin+time.Second/2)
+}
+
+// Guards against attempts to reach an agent that count as contact, so that an agent which never answers is
+// recorded late.
+func TestLeader_MuteAgentIsRecorded(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	a.mute = true
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	runLeader(t, jobLedger)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		agents, _, err := jobLedger.Agents(t.Context())
+		must.NoError(t, err)
+		return agents["a"].Lost != ledger.Lost{}
+	}), wait.Timeout(recordLostAfter+2*recordLostInterval), wait.Gap(20*time.Millisecond)))
+}
