--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -279,3 +279,34 @@
 		test.Eq(t, 2, snapshot.Version)
 	})
 }
+
+// oneRowStore has one row and no changes.
+type oneRowStore struct{ store.Store }
+
+func (s *oneRowStore) Read(context.Context, store.ReadRequest, int) (store.Page, error) {
+	return store.Page{Rows: []store.Row{{Table: "op", Key: "config", Value: []byte("odd"), Version: 1}}, Version: 1}, nil
+}
+
+func (s *oneRowStore) Feed(ctx context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
+	time.Sleep(c.Wait)
+	return nil, c.After, ctx.Err()
+}
+
+// Guards against a leader that never starts anything because one row cannot be decoded: the settings count as
+// read, although not as up to date.
+func TestWatcher_ReadAgeWithUndecodedRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatcher(&oneRowStore{})
+		_, known := w.ReadAge()
+		test.False(t, known)
+		w.Decode = func(state *site.State, _ store.Row) (*site.State, error) { return state, errors.New("odd row") }
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		test.ErrorIs(t, w.Run(ctx), context.DeadlineExceeded)
+		_, known = w.Age()
+		test.False(t, known)
+		age, known := w.ReadAge()
+		test.True(t, known)
+		test.LessEq(t, 2*time.Second, age)
+	})
+}
