--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -53,6 +53,11 @@
 	planPanics int
 	// overTargetLoggedAt is when tasks over their target were last logged.
 	overTargetLoggedAt time.Duration
+	// began is when this process had begun the term, or later.
+	began time.Duration
+	held  heldInputs
+	// grants bounds until when leaders of earlier terms extend leases.
+	grants grantsBound
 	// renewedAt is when the last successful term renewal was sent.
 	renewedAt time.Duration
 
@@ -70,15 +75,16 @@
 }
 
 // lead leads a term until it ends. sent is when the call that began the term was sent. The
-// term is renewed and agents get leases while the ledger is still being read.
-func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration) error {
-	opts := l.opts
+// term is renewed and agents get leases while the ledger is still being read. grants is known if
+// the end of the previous term is.
+func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound) error {
+	opts, began := l.opts, l.opts.Now()
 	opts.Planner.Term = term.Term.Number
 	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		began: began, held: newHeldInputs(), grants: grants, renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -88,6 +94,7 @@
 		signal(r.wakeRenew)
 	}
 	termsLedTotal.Inc()
+	defer resetHeld()
 	defer l.leadership.Store(nil)
 	r.run("renewals", r.renewLoop)
 	r.run("load", r.recoverState)
@@ -96,6 +103,9 @@
 	if errors.Is(err, ledger.ErrDeposed) {
 		return nil
 	}
+	// No lease is extended any more: the sessions have ended.
+	earlier := r.grants.left(l.opts.Now(), r.began).Milliseconds()
+	term.Term.EarlierGrantsMillis = &earlier
 	l.resign(term, opts.Logger)
 	return err
 }
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -45,6 +45,9 @@
 	done map[job.Task]bool
 	// copies counts the starts of copies.
 	copies int
+	// version is that of the store. acceptedAt has the versions with which the jobs were accepted.
+	version    int64
+	acceptedAt map[string]int64
 }
 
 type modelAgent struct {
@@ -56,6 +59,9 @@
 	lastEnd   int64
 	// startedAt is when the agent's process started.
 	startedAt time.Duration
+	// lostUntil and lostAt are the record of a lost agent; 0 if there is none.
+	lostUntil time.Duration
+	lostAt    int64
 	// runnerSince is when the current runner replaced another one, incarnation the number of runners so
 	// far.
 	runnerSince time.Duration
@@ -146,6 +152,7 @@
 	}
 	a.connected = true
 	a.renewedAt = m.now
+	a.lostUntil, a.lostAt = 0, 0
 	m.p.RunsUnlistedUntil(id, a.unlistedUntil(m.now))
 	m.p.AgentConnected(m.now, id, a.runner(id), append(a.detachedActive(), a.active()...))
 }
@@ -164,12 +171,22 @@
 	for i := range 100 { // copies are started early and pay
 		m.p.learned.Learn(forecast.Key{Queue: "q"}, time.Second, time.Duration(1+i/96*200)*modelTick/5, 1)
 	}
+	grant := modelGrant
+	if rapid.Bool().Draw(m.t, "resigned") {
+		grant = 0
+	}
 	for id, a := range m.agents {
 		a.connected = false
-		m.p.AddUnreportedAgent(id, m.now+modelGrant+modelLease+modelSlack)
+		expiry := m.now + grant + modelLease + modelSlack
+		if a.lostAt != 0 {
+			expiry = min(expiry, a.lostUntil)
+		}
+		m.p.AddUnreportedAgent(id, expiry)
+		m.p.AgentLostAt(id, a.lostAt)
 	}
 	for _, j := range m.jobs {
 		m.p.AddJob(m.instant(), j, m.ledger[j.ID], true)
+		m.p.JobAcceptedAt(j.ID, m.acceptedAt[j.ID])
 	}
 }
 
@@ -312,7 +329,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: time.Hour, ledger: map[string]*Progress{}, agents: map[string]*modelAgent{},
-			storedAsDone: map[job.Task]bool{}, done: map[job.Task]bool{},
+			storedAsDone: map[job.Task]bool{}, done: map[job.Task]bool{}, acceptedAt: map[string]int64{},
 		}
 		for i := range 3 {
 			m.agents[fmt.Sprintf("a%d", i)] = &modelAgent{
@@ -334,6 +351,8 @@
 					j.Queue.MaxAttempts = 1000
 					j.AcceptedAt = m.instant().Wall
 					m.jobs = append(m.jobs, j)
+					m.version++
+					m.acceptedAt[j.ID] = m.version
 					m.p.AddJob(m.instant(), j, nil, false)
 					m.plan()
 				}
@@ -356,6 +375,7 @@
 				}
 			},
 			"take over":           func(*rapid.T) { m.takeOver() },
+			"record lost":         func(*rapid.T) { m.recordLost() },
 			"agent restarts":      func(*rapid.T) { m.restartAgent() },
 			"runner restarts":     func(*rapid.T) { m.restartRunner() },
 			"runner replaced":     func(*rapid.T) { m.replaceRunner() },
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -104,11 +104,14 @@
 	return orders
 }
 
-// Ranks of steps: those that can meet their objective come before late ones, those that
+// Ranks of steps: recovered latency-critical ones come first; those that can meet their objective come before late ones, those that
 // have missed their hard deadline come last.
 const (
+	// rankRecovered: latency-critical tasks that an earlier planner may have started and that have not run
+	// under this one.
+	rankRecovered = iota
 	// rankStarved: the job has exceeded the starvation limit; one of its tasks comes first.
-	rankStarved = iota
+	rankStarved
 	rankInTime
 	rankLate
 	rankExpired
@@ -151,6 +154,9 @@
 func (p *Planner) rankStep(now time.Duration, s *stepState) candidate {
 	c := candidate{step: s, priority: s.job.job.Queue.Priority, rank: rankInTime}
 	if s.step.Continuous {
+		if p.isRecovered(s) {
+			c.rank = rankRecovered
+		}
 		return c
 	}
 	// finish is when the occurrence would end if the step started now.
@@ -201,6 +207,7 @@
 		p.starvationLimit = starvationLimitIfIdle
 	}
 	candidates := make([]candidate, 0, len(p.waitingSteps))
+	lastOrders := p.lastUnknownOrders()
 	kept := p.waitingSteps[:0]
 	for _, s := range p.waitingSteps {
 		if s.waitingTasks == 0 || s.job.state.Terminal() {
@@ -209,7 +216,7 @@
 		}
 		kept = append(kept, s)
 		p.currentJob = s.job.job.ID
-		if s.job.recovered && p.unreported > 0 {
+		if s.job.recovered && s.job.acceptedVersion <= lastOrders {
 			continue
 		}
 		candidates = append(candidates, p.rankStep(now, s))
--- a/internal/supervisor/boot_test.go
+++ b/internal/supervisor/boot_test.go
@@ -72,3 +72,60 @@
 		test.Len(t, 1, h.fake.starts)
 	})
 }
+
+// Guards against a wait for the lease of an earlier process on a machine without a runner, where nothing can
+// have been started since the boot, and against taking a runner that reports later for one without runs.
+func TestSupervisor_FirstProcessWithoutRunner(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.mu.Lock()
+		h.bootRegistered = false
+		h.mu.Unlock()
+		_, ok := h.Snapshot()
+		test.False(t, ok, test.Sprint("the boot is not registered"))
+		h.BootRegistered(true)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Nil(t, snapshot.Runner)
+		test.Zero(t, snapshot.UnlistedFor)
+		h.fake.setRenewErr(errNoAnswer)
+		h.mu.Lock()
+		h.setIncarnation(&job.Runner{ID: "i-3", Service: "desk", StartTime: 1, Sequence: 1}, "")
+		h.mu.Unlock()
+		_, ok = h.Snapshot()
+		test.False(t, ok, test.Sprint("the runner has not listed its runs"))
+	})
+}
+
+// Guards against a snapshot without a runner that is sent at once although an earlier process in this boot
+// may have started runs, also if the registration of the boot comes late.
+func TestSupervisor_LaterProcessWithoutRunnerWaits(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.BootRegistered(false)
+		_, ok := h.Snapshot()
+		test.False(t, ok)
+		time.Sleep(bootRegistrationWait)
+		_, ok = h.Snapshot()
+		test.False(t, ok)
+		time.Sleep(h.opts.MaxLease)
+		_, ok = h.Snapshot()
+		test.True(t, ok)
+	})
+}
+
+// Guards against a wait of two leases, begun by a restart of the runner, that goes on after the runner has
+// announced its end and ended.
+func TestSupervisor_RestartedRunnerLeaves(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.fake.setRenewErr(runner.ErrNoListener)
+		h.mu.Lock()
+		h.setIncarnation(&job.Runner{ID: "i-1", Service: "desk", StartTime: 200, Sequence: 1}, "")
+		h.mu.Unlock()
+		h.RunnerLeft("i-1", 200)
+		time.Sleep(2 * noListenerTimeout)
+		time.Sleep(h.opts.MaxLease)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Nil(t, snapshot.Runner)
+	})
+}
