test/ingress: crowds of clients that exhaust the memory or the descriptors of a process

Cause: nothing bounds the sum of bodies, headers, connections, messages of unauthenticated peers, decoded jobs, cancellations that precede their job, or tasks of legal jobs. A process ends with out-of-memory, or without descriptors, under a crowd of a few hundred clients.

Change: a package of tests that starts single processes (memoryMb = 64, maxFds = 256) on loopback addresses, sends a crowd, and checks that the process lives, that VmHWM is at most 64 MB and the open descriptors at most 256, and that ordinary requests are answered afterwards. No times and no share of served requests are checked.

--- /dev/null
+++ b/test/ingress/process_test.go
@@ -0,0 +1,230 @@
+package ingress
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"bamboowood/platform/platformtest"
+)
+
+// Limits of the process under test, as in its settings file, and the bounds of the checks. They are
+// far below those of a real machine, so that a small crowd exceeds them.
+const (
+	memoryMB = 64
+	maxFds   = 256
+)
+
+// patience bounds each wait. Each ends as soon as its condition holds.
+const patience = 60 * time.Second
+
+const (
+	storeAddress = "127.0.8.1:18169"
+	processIP    = "127.0.8.10"
+	callers      = processIP + ":18161"
+	readiness    = processIP + ":18167"
+	reports      = processIP + ":18166"
+	peers        = processIP + ":17720"
+	metrics      = processIP + ":9464"
+	bodyLimit    = 262_144
+)
+
+var config = fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","service":"desk",
+	"maxAttempts":2,"stretch":2,"sloMs":1000}],"services":[{"name":"desk","admissionCheck":false}],
+	"limits":{"maxBodyBytes":%d}}`, bodyLimit)
+
+// process is the process under test.
+type process struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	ended atomic.Bool
+
+	mu   sync.Mutex
+	peak int // most open descriptors that were seen
+	log  bytes.Buffer
+}
+
+// Write implements io.Writer for the log of the process.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+// start starts a process of the role, with a store, and waits until it is ready.
+func start(t *testing.T, role string) *process {
+	store := platformtest.NewStore()
+	store.WriteOperator("config", []byte(config))
+	serve(t, storeAddress, store)
+	path := filepath.Join(t.TempDir(), "node.toml")
+	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `nodeName = "n-1"
+ip = %q
+zone = "z1"
+portRange = [17720, 17735]
+app = "127.0.8.10:18165"
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+memoryMb = %d
+maxFds = %d
+linkMbps = 1000.0
+[platform]
+address = %q
+[bounds]
+holdMaxMs = 6000
+graceS = 4.0
+status_s = 60
+`, processIP, callers, readiness, reports, memoryMB, maxFds, storeAddress), 0o600))
+	p := &process{t: t, cmd: exec.Command(binary, "platform", role)}
+	p.cmd.Env = append(os.Environ(), "BAMBOOWOOD_SETTINGS="+path)
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	must.NoError(t, p.cmd.Start())
+	done := make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		p.ended.Store(true)
+		close(done)
+	}()
+	go p.watch(done)
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-done
+		if t.Failed() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			text := p.log.String()
+			t.Logf("end of the log:\n%s", text[max(0, len(text)-2000):])
+		}
+	})
+	if role == "entry" {
+		p.waitFor("a leader", func() error { return p.request(http.MethodGet, callers, "/x/", "") })
+	} else {
+		p.waitFor("metrics", func() error { return p.request(http.MethodGet, metrics, "/metrics", "") })
+	}
+	return p
+}
+
+func serve(t *testing.T, address string, handler http.Handler) {
+	ln, err := net.Listen("tcp", address)
+	must.NoError(t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+func (p *process) waitFor(what string, f func() error) {
+	p.t.Helper()
+	must.Wait(p.t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+		if p.ended.Load() {
+			return nil // reported by check
+		}
+		return f()
+	}), wait.Timeout(patience), wait.Gap(50*time.Millisecond)), must.Sprint(what))
+}
+
+// request sends one request on its own connection and returns an error unless the status is 200.
+func (p *process) request(method, address, path, body string) error {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Host = "a.example"
+	response, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %.200s", response.StatusCode, text)
+	}
+	return nil
+}
+
+// ordinaryRequests is the number of ordinary requests after a crowd. The first ones may be answered
+// before the process has read what the crowd has sent.
+const ordinaryRequests = 20
+
+// check checks the process after a crowd, which is still connected. answered sends an ordinary
+// request.
+func (p *process) check(answered func() error) {
+	p.t.Helper()
+	for range ordinaryRequests {
+		p.waitFor("an ordinary request is answered", answered)
+		p.countDescriptors()
+		time.Sleep(50 * time.Millisecond)
+	}
+	must.False(p.t, p.ended.Load(), must.Sprintf("process ended: %v", p.cmd.ProcessState))
+	kb := p.peakMemoryKB()
+	p.mu.Lock()
+	peak := p.peak
+	p.mu.Unlock()
+	p.t.Logf("peak memory %d kB, most descriptors %d", kb, peak)
+	test.LessEq(p.t, memoryMB<<10, kb, test.Sprint("kB at the peak"))
+	test.LessEq(p.t, maxFds, peak, test.Sprint("open descriptors"))
+}
+
+// peakMemoryKB returns the largest resident set size of the process so far.
+func (p *process) peakMemoryKB() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	must.NoError(p.t, err)
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
+			must.NoError(p.t, err)
+			return kb
+		}
+	}
+	p.t.Fatal("no VmHWM")
+	return 0
+}
+
+// countDescriptors counts the open descriptors and records their peak.
+func (p *process) countDescriptors() {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return // the process has ended
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peak = max(p.peak, len(entries))
+}
+
+// watch records the number of open descriptors until done is closed. It ends a process
+// that uses many times its memory, so that a failing test does not use up the machine's.
+func (p *process) watch(done <-chan struct{}) {
+	status := fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid)
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		p.countDescriptors()
+		data, _ := os.ReadFile(status)
+		if f := strings.Fields(string(data)); len(f) > 1 {
+			if pages, _ := strconv.Atoi(f[1]); pages*os.Getpagesize() > 16*memoryMB<<20 {
+				_ = p.cmd.Process.Signal(syscall.SIGKILL)
+			}
+		}
+	}
+}
