platform, entry: admit bodies by an account, bound connections and headers of each listener

Cause: bodies were read with io.ReadAll behind a bound for each, headers had the default bound of 1 MB, and nothing bounded the number of connections or the time that a body or an unread response takes, on any listener. 400 unfinished bodies took 173 MB and 432 descriptors of a process that has 64 MB and 256.

Change: both callers' paths read bodies through ingress.Gate, which admits a body before it is read and as it grows, charges what is decoded from it, and closes the slowest and largest incomplete ones when memory is short (503 with Retry-After; nothing has run). A body without progress is closed after 5 s. All listeners of platform entry and agent, and the one for callers of dev, bound connections; headers have at most 16 KiB; writes time out after 5 s. limits.maxFds of the settings is read. The heap's soft limit leaves 24 MiB to the program on small machines. A lack of descriptors no longer ends the accept loops.

The limits of the dev path keep their keys: max_bodies_bytes, max_connections, max_header_bytes, read_timeout and write_timeout.

--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -15,6 +15,8 @@
 
 	"github.com/apex/log"
 	"github.com/oklog/run"
+
+	"bamboowood/internal/ingress"
 )
 
 // Times of a shutdown, each as what then remains of the grace period.
@@ -43,6 +45,7 @@
 // that has one deadline, the end of the grace period.
 type actors struct {
 	logger log.Interface
+	report *ingress.Report
 	grace  time.Duration
 	// servers are added by serve, loops by add, before run.
 	servers []*server
@@ -77,7 +80,7 @@
 }
 
 func newActors(logger log.Interface, grace time.Duration) *actors {
-	a := &actors{logger: logger, grace: grace, overdue: make(chan struct{}), interruptedAt: map[string]time.Time{}}
+	a := &actors{logger: logger, report: ingress.NewReport(logger), grace: grace, overdue: make(chan struct{}), interruptedAt: map[string]time.Time{}}
 	a.requests, a.endRequests = context.WithCancel(context.Background())
 	return a
 }
@@ -87,13 +90,14 @@
 	a.loops = append(a.loops, loop{name, run})
 }
 
-// serve adds an HTTP server that listens at address. The name is unique.
-func (a *actors) serve(name, address string, handler http.Handler) error {
+// serve adds an HTTP server that listens at address, with at most maxConns connections. The name is
+// unique.
+func (a *actors) serve(name, address string, maxConns int, handler http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s := &server{name: name, listener: ln, closed: make(chan struct{})}
+	s := &server{name: name, listener: ingress.Listen(ln, name, maxConns, a.report), closed: make(chan struct{})}
 	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout, idleTimeout
 	s.BaseContext = func(net.Listener) context.Context { return a.requests }
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -101,6 +105,7 @@
 		defer s.requests.Add(-1)
 		handler.ServeHTTP(w, r)
 	})
+	ingress.Configure(&s.Server)
 	a.servers = append(a.servers, s)
 	return nil
 }
--- a/internal/daemon/actors_test.go
+++ b/internal/daemon/actors_test.go
@@ -19,7 +19,7 @@
 func newTestActors(t *testing.T, grace time.Duration, handler http.HandlerFunc) (a *actors, url string, logs *memory.Handler) {
 	logs = memory.New()
 	a = newActors(&log.Logger{Handler: logs, Level: log.InfoLevel}, grace)
-	must.NoError(t, a.serve("server", "127.0.0.1:0", handler))
+	must.NoError(t, a.serve("server", "127.0.0.1:0", 100, handler))
 	return a, "http://" + a.servers[0].listener.Addr().String(), logs
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 
 	"github.com/apex/log"
-	"golang.org/x/net/netutil"
 
 	"bamboowood/internal/command"
 	"bamboowood/internal/control"
 	"bamboowood/internal/dispatch"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/link"
 	"bamboowood/internal/operators"
 	"bamboowood/internal/platform"
@@ -29,6 +29,7 @@
 	cfg       settings.Entry
 	log       log.Interface
 	listeners entryListeners
+	report    *ingress.Report
 
 	table      platform.Table
 	control    *control.Holder
@@ -60,11 +61,12 @@
 }
 
 func newEntry(cfg settings.Entry, file string, logger log.Interface, tokens []operators.Token) (*Entry, error) {
-	listeners, err := openListeners(cfg, file)
+	report := ingress.NewReport(logger)
+	listeners, err := openListeners(cfg, file, report)
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{cfg: cfg, log: logger.WithField("entry", cfg.Name), listeners: listeners}
+	e := &Entry{cfg: cfg, log: logger.WithField("entry", cfg.Name), listeners: listeners, report: report}
 	e.connect(tokens)
 	return e, nil
 }
@@ -81,11 +83,12 @@
 	return result, nil
 }
 
-func openListeners(cfg settings.Entry, file string) (l entryListeners, err error) {
+func openListeners(cfg settings.Entry, file string, report *ingress.Report) (l entryListeners, err error) {
 	if l.callers, err = listen(cfg.Callers.Listen, cfg.Callers.TLS, file); err != nil {
 		return l, fmt.Errorf("callers: %w", err)
 	}
-	l.callers = netutil.LimitListener(l.callers, cfg.Callers.MaxConnections)
+	l.callers = ingress.Listen(l.callers, "callers", cfg.Callers.MaxConnections, report).
+		WithWriteTimeout(cfg.Callers.WriteTimeout.Value())
 	if l.operators, err = listen(cfg.Operators.Listen, cfg.Operators.TLS, file); err != nil {
 		return l, fmt.Errorf("operators: %w", err)
 	}
--- a/internal/daemon/entryrun.go
+++ b/internal/daemon/entryrun.go
@@ -13,6 +13,7 @@
 	"bamboowood/internal/control"
 	"bamboowood/internal/dispatch"
 	"bamboowood/internal/entry"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/link"
 	"bamboowood/internal/netcount"
 	"bamboowood/internal/operators"
@@ -81,9 +82,9 @@
 	e.recovery = recovery.New(recovery.Options{}, e.table, e.log)
 	e.commander = command.New(e.table, time.Now)
 	e.callers = entry.NewCallers(e.control, e.dispatcher, jobService{e.commander, e.table, e.scheduler.Wake}, entry.Limits{
-		MaxBodyBytes: e.cfg.Callers.MaxBodyBytes, MaxBodiesBytes: e.cfg.Callers.MaxBodiesBytes,
+		MaxBodyBytes:      e.cfg.Callers.MaxBodyBytes,
+		Bodies:            ingress.NewGate(e.cfg.Callers.MaxBodiesBytes, e.cfg.Callers.ReadTimeout.Value(), e.report),
 		RequestsPerSecond: e.cfg.Callers.RequestsPerSecond, Burst: e.cfg.Callers.Burst,
-		WriteTimeout: e.cfg.Callers.WriteTimeout.Value(),
 	})
 	e.operators = operators.Handler(operators.Options{
 		Commander: e.commander, Queries: query.New(e.table, e, e.control), Tokens: tokens,
@@ -140,10 +141,12 @@
 
 func (e *Entry) callersServer() *http.Server {
 	c := e.cfg.Callers
-	return &http.Server{
+	server := &http.Server{
 		Handler: e.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: c.ReadTimeout.Value(),
 		IdleTimeout: idleTimeout, MaxHeaderBytes: c.MaxHeaderBytes,
 	}
+	ingress.Configure(server)
+	return server
 }
 
 // drain refuses new requests and waits for those in flight, for at most the drain timeout.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -23,6 +23,7 @@
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/contain"
 	"bamboowood/internal/follower"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/intake"
 	"bamboowood/internal/job"
 	"bamboowood/internal/leader"
@@ -42,6 +43,8 @@
 	// heapFraction is the soft limit of Go's heap as a fraction of the process's memory;
 	// stacks and bodies held in kernel buffers need the rest.
 	heapFraction = 0.7
+	// programBytes is the memory that the program itself takes.
+	programBytes = 24 << 20
 	// gcPercent trades memory for processor time, since memory is plentiful.
 	gcPercent = 400
 	// leaseFraction is the agents' lease as a fraction of the longest lease, since clocks
@@ -93,12 +96,17 @@
 	logs := logline.New(os.Stdout)
 	log.SetHandler(logs)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(heapFraction * float64(node.MemoryBytes)))
+	debug.SetMemoryLimit(heapLimit(node.MemoryBytes))
 	n := newPlatformNode(role, path, node, logs)
 	n.hup = hup
 	return n, nil
 }
 
+// heapLimit returns the soft limit of Go's heap for a machine's memory.
+func heapLimit(memory int64) int64 {
+	return max(min(int64(heapFraction*float64(memory)), memory-programBytes), memory/2)
+}
+
 // loadNode reads the settings file. Settings that cannot be decoded are read again for settingsWait: the file
 // may be being written.
 func loadNode(path string) (platform.Node, error) {
@@ -133,6 +141,15 @@
 // advertisedAddress returns the address at which other processes reach this one.
 func (n *PlatformNode) advertisedAddress() string { return cmp.Or(n.node.Advertise, n.peerAddress()) }
 
+// listenForPeers opens the port for sessions between processes.
+func (n *PlatformNode) listenForPeers(limits ingress.Limits, report *ingress.Report) (net.Listener, error) {
+	ln, err := net.Listen("tcp", n.peerAddress())
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return ingress.Listen(ln, "peers", limits.Peers, report), nil
+}
+
 // logStoreHealth logs that the store has stopped responding or responds again.
 func (n *PlatformNode) logStoreHealth(responding bool, outage time.Duration) {
 	entry := n.logger.WithField("unanswered_ms", outage.Milliseconds())
@@ -166,6 +183,8 @@
 	if n.node.AdviceAddress != "" {
 		advisor = platform.NewAdvisor(n.node.AdviceAddress)
 	}
+	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
+	a := newActors(n.logger, n.gracePeriod())
 	jobLeader := leader.New(leader.Options{
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
@@ -180,24 +199,25 @@
 		Ledger: callersLedger, Leader: leaderClient, Logger: n.logger, Site: siteWatcher,
 		MaxSettingsAge: cmp.Or(n.node.Bounds.ConfigDeadline, defaultConfigDeadline),
 	}
-	peers, err := net.Listen("tcp", n.peerAddress())
+	peers, err := n.listenForPeers(limits, a.report)
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return err
 	}
 	ready := func() bool { return !n.stopping.Load() && siteWatcher.State().Config != nil }
-	a := newActors(n.logger, n.gracePeriod())
 	a.add("operators' rows", n.restartOnPanic("operators' rows", siteWatcher.Run))
 	a.add("operators' rows of the leader", n.restartOnPanic("operators' rows of the leader", func(ctx context.Context) error {
 		return siteWatcher.FollowPeer(ctx, leaderClient)
 	}))
 	a.add("peers", func(ctx context.Context) error { return jobLeader.ServeQueries(ctx, peers) })
-	if err := a.serve("callers", n.node.CallersAddress, n.closeWhenStopping(platform.CallersHandler(jobIntake))); err != nil {
+	bodies := ingress.NewGate(limits.Bodies, 0, a.report)
+	callers := n.closeWhenStopping(platform.CallersHandler(jobIntake, bodies))
+	if err := a.serve("callers", n.node.CallersAddress, limits.Callers, callers); err != nil {
 		return err
 	}
-	if err := a.serve("readiness", n.node.ReadyAddress, platform.ReadyHandler(ready)); err != nil {
+	if err := a.serve("readiness", n.node.ReadyAddress, limits.Probes, platform.ReadyHandler(ready)); err != nil {
 		return err
 	}
-	if err := n.addMetrics(a); err != nil {
+	if err := n.addMetrics(a, limits); err != nil {
 		return err
 	}
 	n.addSettingsWatch(a)
@@ -250,10 +270,10 @@
 	})
 }
 
-func (n *PlatformNode) addMetrics(a *actors) error {
+func (n *PlatformNode) addMetrics(a *actors, limits ingress.Limits) error {
 	handler := http.NewServeMux()
 	handler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return a.serve("metrics", net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), handler)
+	return a.serve("metrics", net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), limits.Probes, handler)
 }
 
 // addSettingsWatch adds an actor that reads the settings file on SIGHUP and at an interval, and
@@ -299,21 +319,22 @@
 		SteadyNow: func() time.Duration { return time.Since(started) },
 		MaxLease:  n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
 	})
+	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
+	a := newActors(n.logger, n.gracePeriod())
 	agentFollower := follower.New(follower.Options{
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
 		Boot: jobLedger.NewBootRegistration(n.node.IP, n.node.Name+"/"+boottime.MachineID(), boottime.BootID(), boottime.Now),
 		Name: n.node.IP, Address: n.advertisedAddress(), Now: boottime.Now,
 	})
-	peers, err := net.Listen("tcp", n.peerAddress())
+	peers, err := n.listenForPeers(limits, a.report)
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return err
 	}
-	a := newActors(n.logger, n.gracePeriod())
 	reports := platform.ReportHandler(&runnerReports{supervisor: runnerSupervisor, logger: n.logger})
-	if err := a.serve("reports", n.node.ReportAddress, reports); err != nil {
+	if err := a.serve("reports", n.node.ReportAddress, limits.Probes, reports); err != nil {
 		return err
 	}
-	if err := n.addMetrics(a); err != nil {
+	if err := n.addMetrics(a, limits); err != nil {
 		return err
 	}
 	n.addSettingsWatch(a)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,17 +6,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
-	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
 	"bamboowood/internal/control"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/structs"
 	"bamboowood/internal/verdict"
 )
@@ -47,13 +46,12 @@
 
 // Limits bounds the resources of an entry that callers may use.
 type Limits struct {
-	// MaxBodyBytes limits one body, MaxBodiesBytes the sum of those in memory.
-	MaxBodyBytes, MaxBodiesBytes int64
+	// MaxBodyBytes limits one body, Bodies the sum of those in memory.
+	MaxBodyBytes int64
+	Bodies       *ingress.Gate
 	// RequestsPerSecond and Burst limit the rate of accepted requests.
 	RequestsPerSecond float64
 	Burst             int
-	// WriteTimeout limits the time that a caller may take to read its answer.
-	WriteTimeout time.Duration
 }
 
 // Callers is the HTTP handler of the callers' listener.
@@ -63,7 +61,6 @@
 	jobs       Jobs
 	limits     Limits
 	rate       *rate.Limiter
-	bodies     *semaphore.Weighted
 	echo       *echo.Echo
 }
 
@@ -71,9 +68,8 @@
 func NewCallers(holder *control.Holder, dispatcher Dispatcher, jobs Jobs, limits Limits) *Callers {
 	c := &Callers{
 		control: holder, dispatcher: dispatcher, jobs: jobs, limits: limits,
-		rate:   rate.NewLimiter(rate.Limit(limits.RequestsPerSecond), limits.Burst),
-		bodies: semaphore.NewWeighted(limits.MaxBodiesBytes),
-		echo:   echo.New(),
+		rate: rate.NewLimiter(rate.Limit(limits.RequestsPerSecond), limits.Burst),
+		echo: echo.New(),
 	}
 	c.echo.HTTPErrorHandler = writeError
 	c.echo.Use(c.limitRate)
@@ -105,16 +101,19 @@
 	if err != nil {
 		return err
 	}
-	body, release, err := c.readBody(ctx)
+	body, err := c.readBody(ctx)
 	if err != nil {
 		return err
 	}
-	defer release()
-	req.Body = body
+	defer body.Release()
+	req.Body = body.Data
 	answer, err := c.dispatcher.Do(ctx.Request().Context(), req)
 	if err != nil {
 		return err
 	}
+	// The request has run, so its answer is sent even if there is no memory for it. Charging it has
+	// incomplete bodies closed.
+	_ = body.Charge(int64(len(answer.Body)))
 	return c.writeAnswer(ctx, answer)
 }
 
@@ -173,41 +172,26 @@
 	return v, nil
 }
 
-// readBody reads the complete body within the limits. The returned function
-// releases the body's share of MaxBodiesBytes.
-func (c *Callers) readBody(ctx *echo.Context) ([]byte, func(), error) {
-	r := ctx.Request()
+// readBody reads the complete body within the limits.
+func (c *Callers) readBody(ctx *echo.Context) (*ingress.Body, error) {
 	limit := c.limits.MaxBodyBytes
-	tooLarge := verdict.New(verdict.NotRun, verdict.BodyTooLarge, fmt.Errorf("at most %d bytes are allowed", limit))
-	if r.ContentLength > limit {
-		ctx.Response().Header().Set("Connection", "close")
-		return nil, nil, tooLarge
-	}
-	weight := r.ContentLength
-	if weight < 0 {
-		weight = limit
-	}
-	if !c.bodies.TryAcquire(weight) {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.BodyMemoryExhausted, errors.New("memory for request bodies is in use"))
-	}
-	release := func() { c.bodies.Release(weight) }
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.Response(), r.Body, limit))
-	if err == nil {
-		return body, release, nil
-	}
-	release()
+	body, err := c.limits.Bodies.Read(ctx.Response(), ctx.Request(), limit)
 	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
-		return nil, nil, tooLarge
-	}
-	return nil, nil, verdict.New(verdict.NotRun, verdict.BodyIncomplete, err)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &maxBytesErr):
+		return nil, verdict.New(verdict.NotRun, verdict.BodyTooLarge, fmt.Errorf("at most %d bytes are allowed", limit))
+	case errors.Is(err, ingress.ErrMemory):
+		return nil, verdict.New(verdict.NotRun, verdict.BodyMemoryExhausted, err)
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.BodyIncomplete, err)
 }
 
-// writeAnswer sends a complete answer. It fails after the write timeout if the
-// caller reads too slowly; no slot is in use meanwhile.
+// writeAnswer sends a complete answer. The connection bounds the time in which the caller has to read
+// it; no slot is in use meanwhile.
 func (c *Callers) writeAnswer(ctx *echo.Context, a structs.Answer) error {
 	w := ctx.Response()
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(c.limits.WriteTimeout))
 	w.Header().Set(HeaderOutcome, verdict.Ran.String())
 	w.Header().Set(echo.HeaderContentLength, strconv.Itoa(len(a.Body)))
 	return ctx.Blob(a.Status, a.ContentType, a.Body)
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -17,6 +17,7 @@
 
 	"bamboowood/internal/control"
 	"bamboowood/internal/entry"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/platform"
 	"bamboowood/internal/state"
 	"bamboowood/internal/structs"
@@ -76,7 +77,7 @@
 		}},
 	})
 	limits := entry.Limits{
-		MaxBodyBytes: 1024, MaxBodiesBytes: 4096, RequestsPerSecond: 1000, Burst: 1000, WriteTimeout: time.Second,
+		MaxBodyBytes: 1024, Bodies: ingress.NewGate(4096, 0, nil), RequestsPerSecond: 1000, Burst: 1000,
 	}
 	if change != nil {
 		change(&limits)
@@ -119,7 +120,7 @@
 		{name: "body over the limit", path: servicePath, body: bytes.NewReader(make([]byte, 1025)), status: 413, outcome: "not-run", reason: verdict.BodyTooLarge},
 		{name: "body over the limit, length not declared", path: servicePath, body: io.MultiReader(bytes.NewReader(make([]byte, 1025))), status: 413, outcome: "not-run", reason: verdict.BodyTooLarge},
 		{name: "body truncated", path: servicePath, body: truncatedBody{}, status: 408, outcome: "not-run", reason: verdict.BodyIncomplete},
-		{name: "body memory exhausted", path: servicePath, body: truncatedBody{}, limits: func(l *entry.Limits) { l.MaxBodiesBytes = 1 }, status: 503, outcome: "not-run", reason: verdict.BodyMemoryExhausted, retry: true},
+		{name: "body memory exhausted", path: servicePath, body: truncatedBody{}, limits: func(l *entry.Limits) { l.Bodies = ingress.NewGate(1, 0, nil) }, status: 503, outcome: "not-run", reason: verdict.BodyMemoryExhausted, retry: true},
 		{name: "rate limit exceeded", path: servicePath, limits: func(l *entry.Limits) { l.Burst = 0 }, status: 429, outcome: "not-run", reason: verdict.RateLimited, retry: true},
 		{name: "no upstream", path: servicePath, fail: verdict.New(verdict.NotRun, verdict.NoUpstream, nil), status: 503, outcome: "not-run", reason: verdict.NoUpstream, retry: true},
 		{name: "session lost after the commit", path: servicePath, fail: verdict.New(verdict.MayHaveRun, verdict.SessionLost, nil), status: 502, outcome: "may-have-run", reason: verdict.SessionLost},
@@ -181,7 +182,7 @@
 // unknown service.
 func TestCallers_WithoutConfiguration(t *testing.T) {
 	h := entry.NewCallers(control.NewHolder(), &fakeDispatcher{}, &fakeJobs{}, entry.Limits{
-		MaxBodyBytes: 1, MaxBodiesBytes: 1, RequestsPerSecond: 1, Burst: 1,
+		MaxBodyBytes: 1, Bodies: ingress.NewGate(1, 0, nil), RequestsPerSecond: 1, Burst: 1,
 	})
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, servicePath, nil))
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -52,13 +52,13 @@
 // submit serves POST /v1/jobs. With an Idempotency-Key, a repeated request returns
 // the job that the first one created.
 func (c *Callers) submit(ctx *echo.Context) error {
-	body, release, err := c.readBody(ctx)
+	body, err := c.readBody(ctx)
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer body.Release()
 	var job JobRequest
-	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder := json.NewDecoder(bytes.NewReader(body.Data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&job); err != nil {
 		return invalidRequest(fmt.Errorf("body: %w", err))
