wire, leader, follower: bound what unauthenticated peers may send

Cause: a session's peer may open any number of streams, each with a window of 256 KiB, and announce messages of 4 MB whose buffers are allocated at once. 4 sessions with 200 streams each took 533 MB of an entry and 265 MB of an agent.

Change: bounded sessions. A pool that all sessions of a process share counts data from its arrival until it is read, and the buffers of messages that are being read; the session that has the most is closed when the pool has no room. A query has at most 128 KiB, a session at most 64 queries at once and 1,024 streams.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -186,6 +186,7 @@
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
 	jobLeader := leader.New(leader.Options{
+		Peers: ingress.NewPool(limits.Messages), Report: a.report,
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
 		Site: siteWatcher.State, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
@@ -322,6 +323,7 @@
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
 	agentFollower := follower.New(follower.Options{
+		Peers: ingress.NewPool(limits.Messages), Report: a.report,
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
 		Boot: jobLedger.NewBootRegistration(n.node.IP, n.node.Name+"/"+boottime.MachineID(), boottime.BootID(), boottime.Now),
 		Name: n.node.IP, Address: n.advertisedAddress(), Now: boottime.Now,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"bamboowood/internal/contain"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/supervisor"
 	"bamboowood/internal/wire"
@@ -28,6 +29,9 @@
 	sessionTimeout = 1200 * time.Millisecond
 	// helloTimeout bounds the first message of a session.
 	helloTimeout = time.Second
+	// maxSessionBytes bounds what a leader has sent and is not decoded yet: one message of the largest
+	// size, and a stream's window.
+	maxSessionBytes = wire.MaxMessageBytes + 1<<20
 	// reregisterDelay is the time without a leader after which the agent registers again.
 	reregisterDelay = 4 * time.Second
 	// registerInterval is the pause between attempts to register.
@@ -45,6 +49,10 @@
 	Name, Address string
 	// Now is a monotonic clock that includes the time in which the machine is suspended.
 	Now func() time.Duration
+	// Peers holds the messages that leaders send; nil means no bound. Report counts sessions that
+	// end before a valid message.
+	Peers  *ingress.Pool
+	Report *ingress.Report
 }
 
 // Follower serves the leader's sessions for one agent.
@@ -82,16 +90,22 @@
 		}
 		wg.Go(func() {
 			defer func() { _ = conn.Close() }()
-			err := contain.Do(f.opts.Logger, "leader's session", func() error { return f.serve(ctx, conn) })
-			if err != nil && ctx.Err() == nil {
+			valid := false
+			err := contain.Do(f.opts.Logger, "leader's session", func() error { return f.serve(ctx, conn, &valid) })
+			switch {
+			case err == nil || ctx.Err() != nil:
+			case !valid:
+				f.opts.Report.Refused(ingress.PeerInvalid, conn.RemoteAddr().String(), err)
+			default:
 				f.opts.Logger.WithError(err).WithField("peer", conn.RemoteAddr().String()).Warn("leader's session ended")
 			}
 		})
 	}
 }
 
-func (f *Follower) serve(ctx context.Context, conn net.Conn) error {
-	session, err := wire.NewServerSession(conn)
+// serve serves a session. It sets valid once the peer has sent the first message of a leader.
+func (f *Follower) serve(ctx context.Context, conn net.Conn, valid *bool) error {
+	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{Pool: f.opts.Peers, MaxSession: maxSessionBytes})
 	if err != nil {
 		return err
 	}
@@ -118,6 +132,8 @@
 	if hello.Term < 1 || hello.Term > ledger.MaxTermNumber {
 		return fmt.Errorf("%w: %d", errTermOutOfRange, hello.Term)
 	}
+	*valid = true
+	ingress.MarkServed(conn)
 	if laterTerm, leader := f.setCurrent(session, &hello); laterTerm != 0 {
 		f.opts.Logger.WithFields(log.Fields{"term": hello.Term, "later_term": laterTerm}).Warn("leader with outdated term refused")
 		if err := stream.Send(&wirepb.AgentMessage{LaterTerm: laterTerm, LaterLeader: leader}); err != nil {
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/planner"
@@ -65,7 +66,11 @@
 	LeaseDuration time.Duration
 	// LinkRate is the rate of this machine's link in bytes per second; 0 if unknown.
 	LinkRate int64
-	Planner  planner.Options
+	// Peers holds the messages that other entries send; nil means no bound. Report counts those
+	// that are refused.
+	Peers   *ingress.Pool
+	Report  *ingress.Report
+	Planner planner.Options
 }
 
 // Advisor is a client of the advice service, which decides which of the runners may run the
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboowood/internal/contain"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
@@ -233,6 +234,17 @@
 	}
 }
 
+const (
+	// maxQueryBytes bounds a query. The largest has a job, which fits a row of the store (64 KiB).
+	maxQueryBytes = 128 << 10
+	// maxSessionBytes bounds what one entry has sent and is not decoded yet; it holds 16 of the largest
+	// queries.
+	maxSessionBytes = 2 << 20
+	// maxSessionQueries bounds the queries of one entry that are answered at once. The slowest are
+	// relayed writes, of at most queryTimeout each.
+	maxSessionQueries = 64
+)
+
 // ServeQueries answers queries of other entries until ctx is done, and then closes ln.
 func (l *Leader) ServeQueries(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
@@ -255,7 +267,9 @@
 }
 
 func (l *Leader) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := wire.NewServerSession(conn)
+	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{
+		Pool: l.opts.Peers, MaxMessage: maxQueryBytes, MaxSession: maxSessionBytes,
+	})
 	if err != nil {
 		l.opts.Logger.WithError(err).Warn("entry session setup failed")
 		return
@@ -263,19 +277,27 @@
 	defer func() { _ = session.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
+	answering := make(chan struct{}, maxSessionQueries)
 	for {
+		answering <- struct{}{} // a query has a deadline, so this does not block for long
 		stream, err := session.Accept(ctx)
 		if err != nil {
 			if !errors.Is(err, wire.ErrSessionClosed) && ctx.Err() == nil {
-				l.opts.Logger.WithError(err).Warn("entry session failed")
+				l.opts.Report.Refused(ingress.PeerInvalid, conn.RemoteAddr().String(), err)
 			}
 			return
 		}
 		go func() {
+			defer func() { <-answering }()
 			defer func() { _ = stream.Close() }()
 			// After a panic no answer is sent, and the other entry treats the outcome as
 			// unknown.
-			_ = contain.Do(l.opts.Logger, "query", func() error { l.answerQuery(ctx, stream); return nil })
+			_ = contain.Do(l.opts.Logger, "query", func() error {
+				if l.answerQuery(ctx, stream) {
+					ingress.MarkServed(conn)
+				}
+				return nil
+			})
 		}()
 	}
 }
@@ -295,14 +317,15 @@
 	return wirepb.QueryAnswer_RELAY_UNKNOWN
 }
 
-func (l *Leader) answerQuery(ctx context.Context, stream wire.Stream) {
+// answerQuery answers the query on a stream. It reports whether the query was valid.
+func (l *Leader) answerQuery(ctx context.Context, stream wire.Stream) (valid bool) {
 	if err := stream.SetDeadline(time.Now().Add(relayTimeout)); err != nil {
-		return
+		return false
 	}
 	var q wirepb.Query
 	if err := stream.Recv(&q); err != nil {
-		l.opts.Logger.WithError(err).Debug("query read failed")
-		return
+		l.opts.Report.Refused(ingress.PeerInvalid, "query", err)
+		return false
 	}
 	answer := &wirepb.QueryAnswer{}
 	switch {
@@ -311,8 +334,8 @@
 	case q.Accepted != nil:
 		j, err := ledger.DecodeJob(q.Job, q.Accepted)
 		if err != nil {
-			l.opts.Logger.WithError(err).Error("malformed job notification skipped")
-			return
+			l.opts.Report.Refused(ingress.PeerInvalid, "job notification", err)
+			return false
 		}
 		if q.Relay {
 			answer.Relay = l.relayWrite(ctx, q.Job, func(ctx context.Context) error { return l.opts.CallersLedger.Accept(ctx, j) })
@@ -342,4 +365,5 @@
 	if err := stream.Send(answer); err != nil {
 		l.opts.Logger.WithError(err).Debug("query answer not sent")
 	}
+	return true
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -25,6 +25,19 @@
 	net.Conn
 	// frame buffers the header of a data frame until its body is written.
 	frame []byte
+	// memory accounts for what is read; nil if that is not bounded.
+	memory *sessionMemory
+}
+
+// Read implements io.Reader. It is called only by the receiving goroutine of yamux.
+func (c *frameConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.memory != nil && n > 0 {
+		if short := c.memory.received(p[:n]); short != nil {
+			return 0, short
+		}
+	}
+	return n, err
 }
 
 // Write implements io.Writer.
--- a/internal/wire/yamux.go
+++ b/internal/wire/yamux.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -48,6 +49,9 @@
 // sent.
 var ErrMessageTooLarge = errors.New("message too large")
 
+// errNoPeerMemory ends a bounded session that has no memory for what its peer sends.
+var errNoPeerMemory = errors.New("no memory for messages of the peer")
+
 // Dial connects to an entry and starts a session on the connection. If tlsConfig is
 // nil, the connection is plain TCP.
 func Dial(ctx context.Context, addr string, tlsConfig *tls.Config) (Session, error) {
@@ -86,7 +90,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("yamux: %w", err)
 	}
-	return &yamuxSession{session: session, remote: conn.RemoteAddr().String()}, nil
+	return &yamuxSession{session: session, remote: conn.RemoteAddr().String(), maxMessage: MaxMessageBytes}, nil
 }
 
 // yamuxConfig sets every field. Keep-alive is disabled because the heartbeats of package
@@ -107,8 +111,15 @@
 }
 
 type yamuxSession struct {
-	session *yamux.Session
-	remote  string
+	session    *yamux.Session
+	remote     string
+	maxMessage int
+	// memory is nil if the session's memory is not bounded.
+	memory *sessionMemory
+}
+
+func (s *yamuxSession) newStream(stream *yamux.Stream) *yamuxStream {
+	return &yamuxStream{stream: stream, session: s}
 }
 
 // Open implements Session.
@@ -123,15 +134,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSessionClosed, err)
 	}
-	return &yamuxStream{stream: stream}, nil
+	return s.newStream(stream), nil
 }
 
 // Accept implements Session. A stream that fails while it is being accepted is skipped.
 func (s *yamuxSession) Accept(ctx context.Context) (Stream, error) {
 	for {
 		stream, err := s.session.AcceptStreamWithContext(ctx)
+		if err == nil && s.memory != nil && s.session.NumStreams() > maxPeerStreams {
+			_ = s.Close()
+			return nil, ErrTooManyStreams
+		}
 		if err == nil {
-			return &yamuxStream{stream: stream}, nil
+			return s.newStream(stream), nil
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -153,6 +168,7 @@
 
 type yamuxStream struct {
 	stream     *yamux.Stream
+	session    *yamuxSession
 	byteBuffer [1]byte
 }
 
@@ -185,18 +201,49 @@
 
 // Recv implements Stream.
 func (s *yamuxStream) Recv(m proto.Message) error {
-	if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}).UnmarshalFrom(s, m); err != nil {
+	size, err := binary.ReadUvarint(s)
+	if err != nil {
 		return s.normalize(err)
 	}
+	if size > uint64(s.session.maxMessage) {
+		return &protodelim.SizeTooLargeError{Size: size, MaxSize: uint64(s.session.maxMessage)}
+	}
+	if memory := s.session.memory; memory != nil {
+		if err := memory.take(int64(size)); err != nil {
+			return err
+		}
+		defer memory.member.Give(int64(size))
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(s, data); err != nil {
+		return s.normalize(noEOF(err))
+	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
 	return nil
 }
 
-// Read implements io.Reader for protodelim.
-func (s *yamuxStream) Read(p []byte) (int, error) { return s.stream.Read(p) }
+// noEOF returns io.ErrUnexpectedEOF instead of io.EOF, for a message that has begun.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Read implements io.Reader.
+func (s *yamuxStream) Read(p []byte) (int, error) {
+	n, err := s.stream.Read(p)
+	if memory := s.session.memory; memory != nil && n > 0 {
+		memory.member.Give(bufferFactor * int64(n))
+	}
+	return n, err
+}
 
-// ReadByte implements io.ByteReader for protodelim.
+// ReadByte implements io.ByteReader.
 func (s *yamuxStream) ReadByte() (byte, error) {
-	_, err := io.ReadFull(s.stream, s.byteBuffer[:])
+	_, err := io.ReadFull(s, s.byteBuffer[:])
 	return s.byteBuffer[0], err
 }
 
