leader: bound the cancels of unknown jobs that peers have the leader keep

Cause: a peer's notification of a cancel whose job the leader does not have was kept until the ledger had been read, without a bound on their number or on the length of the id.

Change: ids of jobs in queries must be valid. Above 1,000 kept cancels, a notification of a further one is dropped and counted; the store's feed delivers every cancel that was confirmed, without this bound.

--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
@@ -207,13 +208,31 @@
 	return r != nil
 }
 
+// maxEarlyCancels bounds the cancels of unknown jobs that peers may have the leader keep. The store's
+// feed delivers each cancel as well, without a bound.
+const maxEarlyCancels = 1000
+
 // jobCancelled passes a stored cancel to the planner. It reports whether this process leads.
 func (l *Leader) jobCancelled(id string) bool {
 	r := l.leadership.Load()
+	if r != nil && r.earlyCancelsFull(id) {
+		countNotification("cancel-dropped")
+		return true
+	}
 	if r != nil {
 		r.applyContents(&ledger.Contents{Cancels: []string{id}})
 	}
 	return r != nil
 }
 
+func (r *leadership) earlyCancelsFull(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.earlyCancels) >= maxEarlyCancels && !r.planner.HasJob(id)
+}
+
+func countNotification(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bamboowood_leader_notifications_total{result=%q}`, result)).Inc()
+}
+
 var errLaterTerm = fmt.Errorf("agent follows a later term: %w", ledger.ErrDeposed)
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -39,6 +39,8 @@
 // callers read the ledger without delay.
 const redialPause = 300 * time.Millisecond
 
+var errInvalidJobID = errors.New("a job id must be 16 hexadecimal digits")
+
 var errUnreachable = errors.New("leader was unreachable at the last attempt")
 
 // Status queries the state of a job. found is false if the leader does not have the job.
@@ -327,6 +329,10 @@
 		l.opts.Report.Refused(ingress.PeerInvalid, "query", err)
 		return false
 	}
+	if q.Job != "" && !job.ValidID(q.Job) {
+		l.opts.Report.Refused(ingress.PeerInvalid, "query", errInvalidJobID)
+		return false
+	}
 	answer := &wirepb.QueryAnswer{}
 	switch {
 	case q.Settings:
