intake, leader: bound the planner memory that accepted jobs take

Cause: a legal job may have 20,000 tasks, or 10,000 open occurrences, and takes up to 6 MB of the leader. 100 jobs with a body of 40 bytes took 197 MB of a process that has 64 MB.

Change: jobs may take a quarter of the leader's memory, by an estimate that is above what the planner takes (TestPlanner_JobMemoryCoversHeap). An entry asks the leader for the memory that is left: every 2 s for ordinary jobs, of which it admits a sixteenth by one value, and for each job above 64 KiB, for which the leader reserves the memory if it is at most a quarter of what is left. A job without room is refused with 503 and Retry-After, unless it may have been accepted before. Notifications of jobs for which there is no room are left to the store's feed. A leader of the previous version does not answer the question, and all is admitted as before (fields job_bytes = 9, job_room = 10).

Changes to existing tests: the fake leader of internal/intake has the new method of its interface.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -186,7 +186,7 @@
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
 	jobLeader := leader.New(leader.Options{
-		Peers: ingress.NewPool(limits.Messages), Report: a.report,
+		JobMemory: limits.Jobs, Peers: ingress.NewPool(limits.Messages), Report: a.report,
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
 		Site: siteWatcher.State, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,6 +53,8 @@
 	// StaleSettings means that the known configuration has no queue for the path, but a newer
 	// one, which this entry could not read, may have it.
 	StaleSettings Reason = "stale-settings"
+	// NoRoom means that the leader has no memory for the job's tasks.
+	NoRoom Reason = "no-room"
 	// LeaderUnavailable means that neither the leader nor, for the state of a job, the
 	// ledger could answer.
 	LeaderUnavailable Reason = "leader-unknown"
@@ -63,7 +65,7 @@
 	// Route returns the route that serves the path at the host, and the limits of requests. It
 	// returns ErrNoRoute or a RefusedError (NoConfiguration, StaleSettings).
 	Route(host, path string) (site.Route, site.Limits, error)
-	// Submit accepts a job. It returns ErrInvalid, a RefusedError (StoreUnavailable, TooLarge),
+	// Submit accepts a job. It returns ErrInvalid, a RefusedError (StoreUnavailable, TooLarge, NoRoom),
 	// or another error if the job may have been accepted.
 	Submit(ctx context.Context, j *job.Job) error
 	// Cancel cancels a job. It returns the errors of Status, or another error if the job may
@@ -84,6 +86,10 @@
 	// MaxCapacity returns, for each resource, the largest capacity of any runner of a
 	// service. known is false if the leader did not answer or does not have it yet.
 	MaxCapacity(ctx context.Context, service string) (largest job.Resources, known bool)
+	// JobRoom returns how many bytes of memory are left for further jobs, and reserves cost bytes for
+	// job id if that fits; an empty id reserves nothing. known is false if the leader did not answer
+	// or has no bound.
+	JobRoom(ctx context.Context, id string, cost int64) (bytes int64, known bool)
 	// JobAccepted and JobCancelled notify the leader of a job or cancel that has just been
 	// stored.
 	JobAccepted(ctx context.Context, j *job.Job)
@@ -117,6 +123,7 @@
 	MaxSettingsAge time.Duration
 
 	capacities capacityCache
+	room       room
 }
 
 // Site gives access to the operator settings; site.Watcher implements it.
@@ -146,6 +153,10 @@
 		countRequest(TooLarge)
 		return &RefusedError{Reason: TooLarge, RetryAfter: tooLargeRetryAfter}
 	}
+	if s.noRoom(ctx, j) {
+		countRequest(NoRoom)
+		return &RefusedError{Reason: NoRoom, RetryAfter: tooLargeRetryAfter}
+	}
 	unconfirmed := false
 	for {
 		err := s.Ledger.Accept(ctx, j)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -63,6 +63,9 @@
 	return f.maxCapacity, f.maxCapacity != job.Resources{}
 }
 
+// JobRoom implements Leader without a bound.
+func (f *fakeLeader) JobRoom(context.Context, string, int64) (int64, bool) { return 0, false }
+
 func (f *fakeLeader) Status(context.Context, string) (job.State, bool, bool) {
 	return f.state, f.state != "", f.leading
 }
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -66,6 +66,8 @@
 	LeaseDuration time.Duration
 	// LinkRate is the rate of this machine's link in bytes per second; 0 if unknown.
 	LinkRate int64
+	// JobMemory bounds the memory of the planner's jobs in bytes; 0 means no bound.
+	JobMemory int64
 	// Peers holds the messages that other entries send; nil means no bound. Report counts those
 	// that are refused.
 	Peers   *ingress.Pool
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
@@ -49,6 +48,8 @@
 	recoveredAt time.Duration
 	// earlyCancels holds the ids of cancelled jobs that have not been received yet.
 	earlyCancels map[string]bool
+	// reservedRoom holds the memory of jobs that entries are about to accept, by id.
+	reservedRoom map[string]reservation
 	budget       budget
 	// planPanics counts consecutive plans that panicked while no job was handled.
 	planPanics int
@@ -79,7 +80,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		renewedAt: sent, earlyCancels: map[string]bool{}, reservedRoom: map[string]reservation{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -199,19 +200,21 @@
 	return largest, known, true
 }
 
-// jobAccepted passes a stored job to the planner. It reports whether this process leads.
+// jobAccepted passes a stored job to the planner. It reports whether this process leads. A job for
+// which there is no memory is left to the store's feed, since the notification may come from a peer
+// that has stored nothing.
 func (l *Leader) jobAccepted(j *job.Job) bool {
 	r := l.leadership.Load()
 	if r != nil {
+		if room, known := r.jobRoom(j.ID, 0); known && room < j.PlannerBytes() {
+			countNotification("job-dropped")
+			return true
+		}
 		r.applyContents(&ledger.Contents{Jobs: []*job.Job{j}})
 	}
 	return r != nil
 }
 
-// maxEarlyCancels bounds the cancels of unknown jobs that peers may have the leader keep. The store's
-// feed delivers each cancel as well, without a bound.
-const maxEarlyCancels = 1000
-
 // jobCancelled passes a stored cancel to the planner. It reports whether this process leads.
 func (l *Leader) jobCancelled(id string) bool {
 	r := l.leadership.Load()
@@ -225,14 +228,4 @@
 	return r != nil
 }
 
-func (r *leadership) earlyCancelsFull(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.earlyCancels) >= maxEarlyCancels && !r.planner.HasJob(id)
-}
-
-func countNotification(result string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`bamboowood_leader_notifications_total{result=%q}`, result)).Inc()
-}
-
 var errLaterTerm = fmt.Errorf("agent follows a later term: %w", ledger.ErrDeposed)
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -76,6 +76,19 @@
 	}, answer.GetLeading() && answer.GetKnown()
 }
 
+// JobRoom queries how many bytes of memory the leader has left for further jobs, and has it reserve
+// cost bytes for job id if that fits; an empty id reserves nothing. known is false if the leader did not
+// answer or has no bound.
+func (c *Client) JobRoom(ctx context.Context, id string, cost int64) (bytes int64, known bool) {
+	bytes, known, leading := c.Leader.JobRoom(id, cost)
+	if leading {
+		return bytes, known
+	}
+	// A leader of the previous version answers 0.
+	answer := c.query(ctx, &wirepb.Query{Job: id, JobBytes: cost})
+	return answer.GetJobRoom(), answer.GetLeading() && answer.GetJobRoom() > 0
+}
+
 // JobAccepted notifies the leader of a job that has just been stored. Errors are only
 // logged: the leader also receives the job from the store's feed.
 func (c *Client) JobAccepted(ctx context.Context, j *job.Job) {
@@ -356,6 +369,12 @@
 		if answer.Relay <= wirepb.QueryAnswer_RELAY_STORED {
 			answer.Leading = l.jobCancelled(q.Job)
 		}
+	case q.JobBytes > 0:
+		room, known, leading := l.JobRoom(q.Job, q.JobBytes)
+		answer.Leading = leading
+		if known {
+			answer.JobRoom = max(room, 1)
+		}
 	case q.Job != "":
 		var state job.State
 		state, answer.Known, answer.Leading = l.Status(q.Job)
