wire: count sessions that end for want of memory

Cause: a session that the pool of peers' messages closed had no counter of its own (each refusal is to have one).

Change: reason peer-memory of bamboowood_ingress_refused_total, by the report of the session's process.

Result: internal/wire, internal/follower and internal/daemon pass with -race. Beside another run of the daemon's tests on this machine they had failed once, since both listen on 127.0.7.1:18169.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -105,7 +105,9 @@
 
 // serve serves a session. It sets valid once the peer has sent the first message of a leader.
 func (f *Follower) serve(ctx context.Context, conn net.Conn, valid *bool) error {
-	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{Pool: f.opts.Peers, MaxSession: maxSessionBytes})
+	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{
+		Pool: f.opts.Peers, MaxSession: maxSessionBytes, Report: f.opts.Report,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -283,7 +283,7 @@
 
 func (l *Leader) serveSession(ctx context.Context, conn net.Conn) {
 	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{
-		Pool: l.opts.Peers, MaxMessage: maxQueryBytes, MaxSession: maxSessionBytes,
+		Pool: l.opts.Peers, MaxMessage: maxQueryBytes, MaxSession: maxSessionBytes, Report: l.opts.Report,
 	})
 	if err != nil {
 		l.opts.Logger.WithError(err).Warn("entry session setup failed")
--- a/internal/wire/bounded.go
+++ b/internal/wire/bounded.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -36,6 +37,8 @@
 	MaxMessage int
 	// MaxSession bounds what the session takes of Pool; 0 means no bound of its own.
 	MaxSession int64
+	// Report counts sessions that end for want of memory; it may be nil.
+	Report *ingress.Report
 }
 
 // NewBoundedServerSession is NewServerSession with limits.
@@ -46,7 +49,11 @@
 	}
 	frames := &frameConn{Conn: conn}
 	if bounds.Pool != nil {
-		s.memory = &sessionMemory{member: bounds.Pool.Join(bounds.MaxSession, func() { _ = conn.Close() })}
+		s.memory = &sessionMemory{peer: s.remote, report: bounds.Report}
+		s.memory.member = bounds.Pool.Join(bounds.MaxSession, sync.OnceFunc(func() {
+			bounds.Report.Refused(ingress.PeerMemory, s.remote, nil)
+			_ = conn.Close()
+		}))
 		frames.memory = s.memory
 	}
 	config := yamuxConfig()
@@ -74,6 +81,8 @@
 // that is left when a stream is closed counts until the session ends.
 type sessionMemory struct {
 	member *ingress.Member
+	peer   string
+	report *ingress.Report
 	parser frameParser
 }
 
@@ -93,6 +102,7 @@
 			return nil
 		}
 		if !retry || time.Since(began) > memoryWait {
+			m.report.Refused(ingress.PeerMemory, m.peer, nil)
 			return errNoPeerMemory
 		}
 	}
