--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -30,6 +30,9 @@
 		f.at = randomDuration(r, 0, window)
 		schedule = append(schedule, f)
 	}
+	if cl.options.has(crowd) {
+		schedule = append(schedule, cl.crowds(window)...)
+	}
 	return append(schedule, cl.turnedAway(window)...)
 }
 
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -171,6 +171,7 @@
 	refusedRunner = "refuse"     // runners' addresses refuse connections while they live
 	oddReport     = "odd-report" // other writers send reports to agents
 	oddRow        = "odd-row"    // other writers write to the tables of the system
+	crowd         = "crowd"      // unknown clients send unfinished bodies to entries
 )
 
 func (o options) has(name string) bool { return slices.Contains(o, name) }
