test/ingress: addresses of their own for each run

Cause: two runs of the tests on one machine would listen on the same loopback addresses.

Change: a run reserves a block of addresses, as the soak does. Crowds and bounds are unchanged.

--- a/test/ingress/main_test.go
+++ b/test/ingress/main_test.go
@@ -31,5 +31,11 @@
 		fmt.Fprintln(os.Stderr, "build:", err)
 		return 1
 	}
+	reserved, err := reserveAddresses()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = reserved.Close() }()
 	return m.Run()
 }
--- a/test/ingress/process_test.go
+++ b/test/ingress/process_test.go
@@ -34,16 +34,25 @@
 // patience bounds each wait. Each ends as soon as its condition holds.
 const patience = 60 * time.Second
 
-const (
-	storeAddress = "127.0.8.1:18169"
-	processIP    = "127.0.8.10"
-	callers      = processIP + ":18161"
-	readiness    = processIP + ":18167"
-	reports      = processIP + ":18166"
-	peers        = processIP + ":17720"
-	metrics      = processIP + ":9464"
-	bodyLimit    = 262_144
-)
+const bodyLimit = 262_144
+
+// Addresses of the process and the store. Each run of the tests has its own, so that several may run at
+// once.
+var storeAddress, processIP, callers, readiness, reports, peers, metrics string
+
+// reserveAddresses sets the addresses to those of a block that no other run uses until the process ends.
+func reserveAddresses() (net.Listener, error) {
+	for block := 8; ; block++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.8.1:18160", block))
+		if err != nil && block < 39 {
+			continue
+		}
+		storeAddress, processIP = fmt.Sprintf("127.%d.8.1:18169", block), fmt.Sprintf("127.%d.8.10", block)
+		callers, readiness, reports = processIP+":18161", processIP+":18167", processIP+":18166"
+		peers, metrics = processIP+":17720", processIP+":9464"
+		return ln, err
+	}
+}
 
 var config = fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","service":"desk",
 	"maxAttempts":2,"stretch":2,"sloMs":1000}],"services":[{"name":"desk","admissionCheck":false}],
@@ -77,7 +86,7 @@
 ip = %q
 zone = "z1"
 portRange = [17720, 17735]
-app = "127.0.8.10:18165"
+app = "127.0.0.1:1"
 [listen]
 front = %q
 ready = %q
