ingress: a body may pause for all of its progress timeout

Cause: the deadline of a body is extended at most every 500 ms, so that a byte that follows another after 4.5 to 5 s could come too late.

Change: the deadline is later by this step.

--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -28,7 +28,7 @@
 	firstBuffer = 4 << 10
 	// grantOverhead is charged for each request besides its body.
 	grantOverhead = 1 << 10
-	// deadlineStep is the least time between two extensions of a deadline.
+	// deadlineStep is the least time between two extensions of a deadline, which is later by as much.
 	deadlineStep = 500 * time.Millisecond
 	// evictionWait and evictionPause bound the wait for memory of evicted bodies.
 	evictionWait  = 200 * time.Millisecond
@@ -193,7 +193,7 @@
 
 // extend records the progress of the body and sets the deadline for the next part of it.
 func (b *Body) extend(conn *Conn, began, now time.Time) error {
-	deadline := now.Add(ProgressTimeout)
+	deadline := now.Add(ProgressTimeout + deadlineStep)
 	if b.gate.maxTime > 0 && began.Add(b.gate.maxTime).Before(deadline) {
 		deadline = began.Add(b.gate.maxTime)
 	}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -192,7 +192,7 @@
 		}
 		return ctx
 	}
-	bodyTimeout := ProgressTimeout
+	bodyTimeout := ProgressTimeout + deadlineStep
 	if s.ReadTimeout > 0 {
 		bodyTimeout = min(bodyTimeout, s.ReadTimeout)
 	}
