--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -48,6 +48,8 @@
 	recoveredAt time.Duration
 	// earlyCancels holds the ids of cancelled jobs that have not been received yet.
 	earlyCancels map[string]bool
+	// reservedRoom holds the memory of jobs that entries are about to accept, by id.
+	reservedRoom map[string]reservation
 	budget       budget
 	// planPanics counts consecutive plans that panicked while no job was handled.
 	planPanics int
@@ -84,7 +86,8 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		began: began, held: newHeldInputs(), grants: grants, renewedAt: sent, earlyCancels: map[string]bool{}, deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
+		began: began, held: newHeldInputs(), grants: grants, renewedAt: sent, earlyCancels: map[string]bool{}, reservedRoom: map[string]reservation{},
+		deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
 		group: group,
 	}
@@ -208,10 +211,16 @@
 	return largest, known, true
 }
 
-// jobAccepted passes a stored job to the planner. It reports whether this process leads.
+// jobAccepted passes a stored job to the planner. It reports whether this process leads. A job for
+// which there is no memory is left to the store's feed, since the notification may come from a peer
+// that has stored nothing.
 func (l *Leader) jobAccepted(j *job.Job) bool {
 	r := l.leadership.Load()
 	if r != nil {
+		if room, known := r.jobRoom(j.ID, 0); known && room < j.PlannerBytes() {
+			countNotification("job-dropped")
+			return true
+		}
 		r.applyContents(&ledger.Contents{Jobs: []*job.Job{j}})
 	}
 	return r != nil
@@ -220,6 +229,10 @@
 // jobCancelled passes a stored cancel to the planner. It reports whether this process leads.
 func (l *Leader) jobCancelled(id string) bool {
 	r := l.leadership.Load()
+	if r != nil && r.earlyCancelsFull(id) {
+		countNotification("cancel-dropped")
+		return true
+	}
 	if r != nil {
 		r.applyContents(&ledger.Contents{Cancels: []string{id}})
 	}
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboowood/internal/contain"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/job"
 	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
@@ -38,6 +39,8 @@
 // callers read the ledger without delay.
 const redialPause = 300 * time.Millisecond
 
+var errInvalidJobID = errors.New("a job id must be 16 hexadecimal digits")
+
 var errUnreachable = errors.New("leader was unreachable at the last attempt")
 
 // Status queries the state of a job. found is false if the leader does not have the job.
@@ -73,6 +76,19 @@
 	}, answer.GetLeading() && answer.GetKnown()
 }
 
+// JobRoom queries how many bytes of memory the leader has left for further jobs, and has it reserve
+// cost bytes for job id if that fits; an empty id reserves nothing. known is false if the leader did not
+// answer or has no bound.
+func (c *Client) JobRoom(ctx context.Context, id string, cost int64) (bytes int64, known bool) {
+	bytes, known, leading := c.Leader.JobRoom(id, cost)
+	if leading {
+		return bytes, known
+	}
+	// A leader of the previous version answers 0.
+	answer := c.query(ctx, &wirepb.Query{Job: id, JobBytes: cost})
+	return answer.GetJobRoom(), answer.GetLeading() && answer.GetJobRoom() > 0
+}
+
 // JobAccepted notifies the leader of a job that has just been stored. Errors are only
 // logged: the leader also receives the job from the store's feed.
 func (c *Client) JobAccepted(ctx context.Context, j *job.Job) {
@@ -233,6 +249,17 @@
 	}
 }
 
+const (
+	// maxQueryBytes bounds a query. The largest has a job, which fits a row of the store (64 KiB).
+	maxQueryBytes = 128 << 10
+	// maxSessionBytes bounds what one entry has sent and is not decoded yet; it holds 16 of the largest
+	// queries.
+	maxSessionBytes = 2 << 20
+	// maxSessionQueries bounds the queries of one entry that are answered at once. The slowest are
+	// relayed writes, of at most queryTimeout each.
+	maxSessionQueries = 64
+)
+
 // ServeQueries answers queries of other entries until ctx is done, and then closes ln.
 func (l *Leader) ServeQueries(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
@@ -255,7 +282,9 @@
 }
 
 func (l *Leader) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := wire.NewServerSession(conn)
+	session, err := wire.NewBoundedServerSession(conn, wire.Bounds{
+		Pool: l.opts.Peers, MaxMessage: maxQueryBytes, MaxSession: maxSessionBytes, Report: l.opts.Report,
+	})
 	if err != nil {
 		l.opts.Logger.WithError(err).Warn("entry session setup failed")
 		return
@@ -263,19 +292,27 @@
 	defer func() { _ = session.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
+	answering := make(chan struct{}, maxSessionQueries)
 	for {
+		answering <- struct{}{} // a query has a deadline, so this does not block for long
 		stream, err := session.Accept(ctx)
 		if err != nil {
 			if !errors.Is(err, wire.ErrSessionClosed) && ctx.Err() == nil {
-				l.opts.Logger.WithError(err).Warn("entry session failed")
+				l.opts.Report.Refused(ingress.PeerInvalid, conn.RemoteAddr().String(), err)
 			}
 			return
 		}
 		go func() {
+			defer func() { <-answering }()
 			defer func() { _ = stream.Close() }()
 			// After a panic no answer is sent, and the other entry treats the outcome as
 			// unknown.
-			_ = contain.Do(l.opts.Logger, "query", func() error { l.answerQuery(ctx, stream); return nil })
+			_ = contain.Do(l.opts.Logger, "query", func() error {
+				if l.answerQuery(ctx, stream) {
+					ingress.MarkServed(conn)
+				}
+				return nil
+			})
 		}()
 	}
 }
@@ -295,14 +332,19 @@
 	return wirepb.QueryAnswer_RELAY_UNKNOWN
 }
 
-func (l *Leader) answerQuery(ctx context.Context, stream wire.Stream) {
+// answerQuery answers the query on a stream. It reports whether the query was valid.
+func (l *Leader) answerQuery(ctx context.Context, stream wire.Stream) (valid bool) {
 	if err := stream.SetDeadline(time.Now().Add(relayTimeout)); err != nil {
-		return
+		return false
 	}
 	var q wirepb.Query
 	if err := stream.Recv(&q); err != nil {
-		l.opts.Logger.WithError(err).Debug("query read failed")
-		return
+		l.opts.Report.Refused(ingress.PeerInvalid, "query", err)
+		return false
+	}
+	if q.Job != "" && !job.ValidID(q.Job) {
+		l.opts.Report.Refused(ingress.PeerInvalid, "query", errInvalidJobID)
+		return false
 	}
 	answer := &wirepb.QueryAnswer{}
 	switch {
@@ -311,8 +353,8 @@
 	case q.Accepted != nil:
 		j, err := ledger.DecodeJob(q.Job, q.Accepted)
 		if err != nil {
-			l.opts.Logger.WithError(err).Error("malformed job notification skipped")
-			return
+			l.opts.Report.Refused(ingress.PeerInvalid, "job notification", err)
+			return false
 		}
 		if q.Relay {
 			answer.Relay = l.relayWrite(ctx, q.Job, func(ctx context.Context) error { return l.opts.CallersLedger.Accept(ctx, j) })
@@ -327,6 +369,12 @@
 		if answer.Relay <= wirepb.QueryAnswer_RELAY_STORED {
 			answer.Leading = l.jobCancelled(q.Job)
 		}
+	case q.JobBytes > 0:
+		room, known, leading := l.JobRoom(q.Job, q.JobBytes)
+		answer.Leading = leading
+		if known {
+			answer.JobRoom = max(room, 1)
+		}
 	case q.Job != "":
 		var state job.State
 		state, answer.Known, answer.Leading = l.Status(q.Job)
@@ -342,4 +390,5 @@
 	if err := stream.Send(answer); err != nil {
 		l.opts.Logger.WithError(err).Debug("query answer not sent")
 	}
+	return true
 }
