--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -288,14 +288,18 @@
 }
 
 // nextMessage returns the next message of a session: the snapshot once it is ready, and updates after
-// it. sent is set once the snapshot has been returned. current is false if another session has taken
-// over, which then has all further updates.
+// it. sent is set once the snapshot has been returned. current is false if the session is to end: another one
+// has taken over, or is to begin with a new snapshot. That one has all further updates.
 func (f *Follower) nextMessage(session wire.Session, snapshot bool) (m *wirepb.AgentMessage, sent, current bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != session {
 		return nil, snapshot, false
 	}
+	if snapshot && f.opts.Supervisor.SnapshotOutdated() {
+		f.opts.Logger.Info("session closed; the next one begins with a snapshot with more ends")
+		return nil, true, false
+	}
 	if snapshot {
 		u, _ := f.opts.Supervisor.TakeUpdate()
 		return message(u), true, true
@@ -303,7 +307,7 @@
 	u, ok := f.opts.Supervisor.Snapshot()
 	m = message(u)
 	m.Snapshot = ok
-	m.UnlistedRunsMs = u.UnlistedFor.Milliseconds()
+	m.UnlistedRunsMs, m.MoreEnds = u.UnlistedFor.Milliseconds(), u.MoreEnds
 	return m, ok, true
 }
 
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -202,9 +202,10 @@
 	} else {
 		r.planner.RunsUnlistedUntil(c.id, 0)
 	}
+	r.planner.EndsIncomplete(c.id, m.MoreEnds)
 	r.planner.AgentConnected(now, c.id, runner, active)
 	c.sendDetails(active)
-	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "unknown_agents": r.planner.UnreportedAgents()}
+	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "more_ends": m.MoreEnds, "unknown_agents": r.planner.UnreportedAgents()}
 	if runner != nil {
 		fields["runner"], fields["zone"], fields["draining"] = runner.ID, runner.Zone, runner.Draining
 	}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -31,9 +31,11 @@
 	// there are none. awaited is set from a takeover until all runs of earlier planners are known.
 	unlistedUntil time.Duration
 	awaited       bool
-	runner        *job.Runner
-	rack          string
-	runs          map[job.Run]*run
+	// endsIncomplete is set if the agent's last snapshot lacked ends that its runner had not listed.
+	endsIncomplete bool
+	runner         *job.Runner
+	rack           string
+	runs           map[job.Run]*run
 	// requested is the sum of the resources requested by all runs, except the CPU of
 	// best-effort runs.
 	requested job.Resources
--- a/internal/planner/unlisted.go
+++ b/internal/planner/unlisted.go
@@ -19,6 +19,22 @@
 	}
 }
 
+// EndsIncomplete records whether runs that an agent does not list may have ended only because its runner has
+// not listed all ends yet. A later snapshot without that shows which runs are absent. It is called before
+// AgentConnected.
+func (p *Planner) EndsIncomplete(id string, incomplete bool) {
+	a := p.agents[id]
+	if a == nil {
+		return
+	}
+	if a.endsIncomplete && !incomplete {
+		for _, r := range a.runs {
+			r.detachedUntil = 0
+		}
+	}
+	a.endsIncomplete = incomplete
+}
+
 // UnreportedAgents returns the number of agents that have not reported all of their runs yet.
 // Tasks of recovered jobs are not started until it is 0.
 func (p *Planner) UnreportedAgents() int { return p.unreported }
--- /dev/null
+++ b/internal/supervisor/endpages_test.go
@@ -0,0 +1,63 @@
+package supervisor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"bamboowood/internal/job"
+)
+
+// listEnds makes a runner of an earlier process list n ends in pages of two.
+func listEnds(n int64) func(*fakeRunner) {
+	return func(f *fakeRunner) {
+		f.maxEnds = 2
+		for i := range n {
+			run := job.Run{Task: job.Task{Job: "5c0e7a21d94b36f8", Index: int(i)}, Number: 1}
+			f.ends = append(f.ends, job.End{Sequence: i + 1, Run: run, Reason: job.EndDone})
+		}
+	}
+}
+
+// Guards against taking the first page of ends for all of them after a restart of the agent: runs whose ends
+// were on later pages counted as absent, and their tasks were started again after they were done.
+func TestSupervisor_SnapshotBeforeLastPageOfEnds(t *testing.T) {
+	runTest(t, listEnds(5), func(h *harness) {
+		h.reportRunner("i-1", 1)
+		h.grantLease()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Len(t, 2, snapshot.Ends)
+		test.GreaterEq(t, testLease+partialSnapshotInterval, snapshot.UnlistedFor)
+		for _, stored := range []int64{2, 4} {
+			h.collectUpdates(200 * time.Millisecond)
+			must.False(t, h.SnapshotOutdated())
+			h.EndsStored("i-1", 0, stored)
+		}
+		h.collectUpdates(200 * time.Millisecond)
+		must.True(t, h.SnapshotOutdated(), must.Sprint("all ends are listed"))
+		snapshot, _ = h.Snapshot()
+		test.Len(t, 1, snapshot.Ends)
+		test.False(t, snapshot.MoreEnds)
+		h.collectUpdates(time.Minute)
+		test.False(t, h.SnapshotOutdated())
+	})
+}
+
+// Guards against a partial snapshot that outlives its time while the ledger stores no ends: unlisted runs
+// would count as absent.
+func TestSupervisor_PartialSnapshotIsRepeated(t *testing.T) {
+	runTest(t, listEnds(5), func(h *harness) {
+		h.reportRunner("i-1", 1)
+		for range 5 {
+			snapshot, ok := h.Snapshot()
+			must.True(t, ok)
+			test.GreaterEq(t, testLease+partialSnapshotInterval, snapshot.UnlistedFor)
+			must.False(t, h.SnapshotOutdated())
+			h.collectUpdates(partialSnapshotInterval)
+			must.True(t, h.SnapshotOutdated())
+		}
+	})
+}
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -249,6 +249,7 @@
 	}
 	s.listMalformed = report.Unreadable > 0
 	s.applyEnds(report.Ends)
+	s.applyEndPage(report)
 	listed := make(map[job.Run]bool, len(report.Active))
 	for _, act := range report.Active {
 		listed[act.Run] = true
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -198,7 +198,7 @@
 	s.adoptions++
 	s.contradiction = contradiction{}
 	s.runner, s.left, s.unreachable = r, false, false
-	s.ends, s.receivedEnd, s.storedEnd = nil, 0, 0
+	s.ends, s.receivedEnd, s.storedEnd, s.pages.complete = nil, 0, 0, false
 	s.acknowledgedEnd, s.answeredAt = 0, 0
 	s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0
 	if restarted {
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -52,6 +52,8 @@
 	throttleCallsFailed = metrics.NewCounter("bamboowood_throttle_calls_failed_total")
 	// pauses counts the pauses of the best-effort runs on the runner.
 	pauses = metrics.NewCounter("bamboowood_best_effort_pauses_total")
+	// partialSnapshots counts snapshots that were taken before the runner had listed all of its ends.
+	partialSnapshots = metrics.NewCounter("bamboowood_partial_snapshots_total")
 )
 
 // countSpeedContradicted counts reports whose CPU contradicts the speed limit in force.
--- a/internal/supervisor/snapshot.go
+++ b/internal/supervisor/snapshot.go
@@ -34,6 +34,7 @@
 	s.update = Update{}
 	u = s.fullState()
 	u.UnlistedFor = s.unlistedFor()
+	s.snapshotPages(&u)
 	return u, true
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -71,8 +71,10 @@
 	Ends     []job.End
 	Refusals []RefusedStart
 	// UnlistedFor is for how long runs may be alive that Active lacks: those of an earlier process of
-	// this agent on a runner that has been replaced. Only snapshots have it.
+	// this agent on a runner that has been replaced, or with an end that the runner has not listed yet. Only
+	// snapshots have it. MoreEnds is set if the latter is the only reason.
 	UnlistedFor time.Duration
+	MoreEnds    bool
 }
 
 func (u *Update) empty() bool {
@@ -166,6 +168,7 @@
 	// runsKnownAt, the leases of runs that this process may not have on record have expired.
 	runsListed  bool
 	runsKnownAt time.Duration
+	pages       endPages
 	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
 	earlierLeaseUntil time.Duration
 	// bootRegistered is set once the ledger has that this process runs in the current boot of the VM.
