leader: orders that exceed a message are split

Cause: all orders for an agent since its last message went out as one message. One over 4 MB (1,050 starts with payloads of 4,000 bytes) is refused by Send, which ended the session; each later session ended the same way.

Change: the starts of a message are split into messages of at most 256 KiB. The lease and all other orders are in the first one. 256 KiB rather than 4 MB, since an agent ends a session that brings no whole message for 1.2 s.

Result: TestAgentConn_OrdersBeyondOneMessage (1,100 starts) failed before with "session closed" and passes.

--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -80,11 +80,13 @@
 		if m == nil {
 			return
 		}
-		m.Term = c.leadership.term.Term.Number
-		if err := stream.Send(m); err != nil {
-			c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Warn("send to agent failed")
-			_ = session.Close()
-			return
+		for _, part := range splitOrders(m) {
+			part.Term = c.leadership.term.Term.Number
+			if err := stream.Send(part); err != nil {
+				c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Warn("send to agent failed")
+				_ = session.Close()
+				return
+			}
 		}
 	}
 }
