--- a/internal/leader/send_test.go
+++ b/internal/leader/send_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+// Guards against orders that agents of the previous version lose (UNASKED, HARM): they apply the stops and speed
+// limits of a message before its starts. Orders for other runs do not wait for the starts.
+func TestAgentConn_OrdersForRunsStartedInTheSameMessage(t *testing.T) {
+	started, other := startOrder(1, ""), startOrder(2, "").Run
+	received := sendOrders(t, func(c *agentConn) {
+		c.start(started)
+		for _, run := range []job.Run{started.Run, other} {
+			c.throttle(planner.Throttle{Run: run, Percent: 20})
+			c.stop(planner.Stop{Run: run})
+		}
+	}, func(received []*wirepb.LeaderMessage) bool { return len(received) == 2 })
+	must.Len(t, 1, received[0].Stops)
+	must.Len(t, 1, received[0].Paces)
+	test.Eq(t, other.Task.String(), received[0].Stops[0].Task)
+	test.Eq(t, other.Task.String(), received[0].Paces[0].Run.Task)
+	must.Len(t, 1, received[0].Starts)
+	must.Len(t, 1, received[1].Stops)
+	must.Len(t, 1, received[1].Paces)
+	test.Eq(t, started.Run.Task.String(), received[1].Stops[0].Task)
+}
