--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -190,6 +190,9 @@
 
 // apply applies a message if its session is still the current one. It holds the lock, so that
 // no order of an old session takes effect after the snapshot of a new one.
+//
+// A message holds several orders for one run if the leader has made them since its last message. Stops come
+// first: they are urgent, and prevent starts that follow them. Speed limits come after the starts of their runs.
 func (f *Follower) apply(ctx context.Context, session wire.Session, m *wirepb.LeaderMessage) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -203,7 +206,6 @@
 	if d := m.Stored; d != nil {
 		s.EndsStored(d.RunnerId, d.Born, d.Sequence)
 	}
-	s.SetDetails(f.details(m.Details))
 	for _, ref := range m.Stops {
 		if run, err := wire.Run(ref); err == nil {
 			s.Stop(ctx, run)
@@ -211,13 +213,6 @@
 			f.opts.Logger.WithError(err).Error("malformed stop order skipped")
 		}
 	}
-	for _, o := range m.Paces {
-		if run, err := wire.Run(o.Run); err == nil {
-			s.Throttle(run, int(o.Percent))
-		} else {
-			f.opts.Logger.WithError(err).Error("malformed throttle order skipped")
-		}
-	}
 	for _, o := range m.Starts {
 		if d := f.details([]*wirepb.RunDetails{o.Details}); len(d) == 1 {
 			payload, ok := f.payload(d[0].Run.Task.Job, o)
@@ -231,6 +226,14 @@
 			})
 		}
 	}
+	s.SetDetails(f.details(m.Details))
+	for _, o := range m.Paces {
+		if run, err := wire.Run(o.Run); err == nil {
+			s.Throttle(run, int(o.Percent))
+		} else {
+			f.opts.Logger.WithError(err).Error("malformed throttle order skipped")
+		}
+	}
 	return nil
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -30,6 +30,8 @@
 	// payloads are the payloads of the starts, in order.
 	payloads  []string
 	startedAt time.Time
+	// throttled is the speed limit of the last throttle call.
+	throttled int
 }
 
 func (f *fakeRunner) Start(_ context.Context, _ runner.Fence, o runner.StartRequest) (runner.Refusal, time.Duration, error) {
@@ -44,7 +46,18 @@
 	return "", nil
 }
 
-func (f *fakeRunner) Throttle(context.Context, runner.Fence, job.Run, int) error { return nil }
+func (f *fakeRunner) Throttle(_ context.Context, _ runner.Fence, _ job.Run, percent int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.throttled = percent
+	return nil
+}
+
+func (f *fakeRunner) percent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.throttled
+}
 
 func (f *fakeRunner) RenewLease(_ context.Context, _ runner.Fence, o runner.RenewRequest) (runner.Report, error) {
 	time.Sleep(min(o.Wait, 10*time.Millisecond))
--- a/internal/supervisor/drop.go
+++ b/internal/supervisor/drop.go
@@ -62,6 +62,7 @@
 		return
 	}
 	delete(s.runs, run)
+	s.withdrawn.add(s.opts.Now(), run)
 	s.forgetActivity(run)
 	s.update.Refusals = append(s.update.Refusals, RefusedStart{Run: run, Reason: reason})
 	countDroppedRun(cause, reason)
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -254,6 +254,7 @@
 	for _, act := range report.Active {
 		listed[act.Run] = true
 		s.applyActivity(act)
+		s.stopIfWithdrawn(ctx, act.Run)
 	}
 	for run, r := range s.runs {
 		// A run in neither list may have an end that the runner has not listed yet.
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -22,6 +22,8 @@
 	causeNoListener = "no-listener"
 	// causeLeaseExpired: the lease of an unresponsive runner has expired.
 	causeLeaseExpired = "lease-expired"
+	// causeWithdrawn: the run was stopped before its start arrived, or had been reported as not started.
+	causeWithdrawn = "withdrawn"
 	// causeNotListed: the runner's lists do not name the run.
 	causeNotListed = "not-listed"
 )
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -30,6 +30,11 @@
 	if s.runs[run] != nil {
 		return
 	}
+	if s.withdrawn.refuses(s.opts.Now(), run) {
+		s.runs[run] = &taskRun{details: o.Details, phase: stopping}
+		s.dropRun(run, runner.RefusedLate, causeWithdrawn)
+		return
+	}
 	speed := speedControl{ordered: o.Speed, inForce: job.SpeedOf(fullSpeed), confirmedAt: s.opts.Now()}
 	if !speed.ordered.Known {
 		speed.ordered = job.SpeedOf(fullSpeed)
@@ -159,12 +164,17 @@
 	s.signal(s.renewNow)
 }
 
-// Stop stops a run in the background. Its end is part of a later update.
+// Stop stops a run in the background. Its end is part of a later update. If the run is not known, an order
+// to start it that is still to come is refused.
 func (s *Supervisor) Stop(ctx context.Context, run job.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[run]
-	if r == nil || r.phase == stopping {
+	if r == nil {
+		s.withdrawn.add(s.opts.Now(), run)
+		return
+	}
+	if r.phase == stopping {
 		return
 	}
 	r.phase = stopping
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -138,6 +138,7 @@
 	adoptions int
 	token     int64
 	runs      map[job.Run]*taskRun
+	withdrawn withdrawnRuns
 	// ends are the ends that the ledger has not stored yet. receivedEnd is the sequence
 	// number of the last end received, storedEnd that of the last end stored.
 	ends        []job.End
@@ -221,7 +222,7 @@
 		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
-		standaloneCap: newStandaloneCap(),
+		standaloneCap: newStandaloneCap(), withdrawn: newWithdrawnRuns(),
 	}
 }
 
