--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -223,6 +223,7 @@
 			s.Start(ctx, supervisor.Order{
 				Details: d[0], Payload: payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 				ValidUntil: time.Duration(o.ValidUntil), Speed: wire.Speed(o.Speed),
+				RunnerID: o.RunnerId, StartTime: o.Born,
 			})
 		}
 	}
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -28,7 +28,7 @@
 	c.send(func(out *wirepb.LeaderMessage) {
 		order := &wirepb.StartOrder{
 			Details: runDetails(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
-			Ticket: o.Ticket, ValidUntil: int64(until),
+			Ticket: o.Ticket, ValidUntil: int64(until), RunnerId: o.RunnerID, Born: o.StartTime,
 		}
 		if o.Speed != job.FullSpeed {
 			order.Speed = proto.Int32(int32(o.Speed))
--- a/internal/leader/send_test.go
+++ b/internal/leader/send_test.go
@@ -59,7 +59,7 @@
 func startOrder(n int, payload string) planner.Start {
 	return planner.Start{
 		Run:  job.Run{Task: job.Task{Job: fmt.Sprintf("%016x", n+1)}, Number: 1},
-		Step: &job.Step{}, Payload: payload, Speed: job.FullSpeed,
+		Step: &job.Step{}, Payload: payload, Speed: job.FullSpeed, RunnerID: "i-1", StartTime: 77,
 	}
 }
 
@@ -85,6 +85,8 @@
 	for _, m := range received {
 		for _, o := range m.Starts {
 			test.StrHasPrefix(t, fmt.Sprintf("%016x", n+1), o.Details.Run.Task)
+			test.Eq(t, "i-1", o.RunnerId)
+			test.Eq(t, 77, o.Born)
 			n++
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -19,6 +19,9 @@
 	Ticket string
 	// Speed is the initial speed limit, in percent of the run's full speed.
 	Speed int
+	// RunnerID and StartTime name the incarnation of the runner for which the start was planned.
+	RunnerID  string
+	StartTime int64
 }
 
 // Stop orders an agent to stop a run, or to prevent its start.
@@ -311,7 +314,10 @@
 		r.setSpeedLimit(now, speed)
 	}
 	p.startBudget -= int64(len(s.job.job.Payload))
-	o := Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint, Speed: r.speedLimit}
+	o := Start{
+		Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint, Speed: r.speedLimit,
+		RunnerID: a.runner.ID, StartTime: a.runner.StartTime,
+	}
 	if s.advice != nil {
 		o.Ticket = s.advice.tickets[a.runner.ID].text
 	}
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -24,6 +24,8 @@
 	causeLeaseExpired = "lease-expired"
 	// causeWithdrawn: the run was stopped before its start arrived, or had been reported as not started.
 	causeWithdrawn = "withdrawn"
+	// causeOtherIncarnation: the start was planned for another incarnation of the runner.
+	causeOtherIncarnation = "other-incarnation"
 	// causeNotListed: the runner's lists do not name the run.
 	causeNotListed = "not-listed"
 )
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -41,6 +41,10 @@
 	}
 	r := &taskRun{details: o.Details, detailsKnown: true, speed: speed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
+	if !o.isFor(s.runner) {
+		s.dropRun(run, runner.RefusedLate, causeOtherIncarnation)
+		return
+	}
 	if s.runner == nil || s.runner.Draining {
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 		return
@@ -70,6 +74,13 @@
 			s.mu.Unlock()
 			break
 		}
+		if !o.isFor(s.runner) {
+			if !sent {
+				s.dropRun(o.Details.Run, runner.RefusedLate, causeOtherIncarnation)
+			}
+			s.mu.Unlock()
+			break
+		}
 		if now := s.opts.Now(); lease == 0 || o.expired(now) {
 			if !sent {
 				s.opts.Logger.WithFields(log.Fields{
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -42,6 +42,14 @@
 	ValidUntil time.Duration
 	// Speed is the initial speed limit; unknown means full speed.
 	Speed job.Speed
+	// RunnerID and StartTime name the incarnation for which the start was planned. An empty id means any.
+	RunnerID  string
+	StartTime int64
+}
+
+// isFor reports whether the start may be carried out on an incarnation.
+func (o *Order) isFor(r *job.Runner) bool {
+	return o.RunnerID == "" || r != nil && r.ID == o.RunnerID && r.StartTime == o.StartTime
 }
 
 // RunDetails holds the properties of a run that throttling needs.
