supervisor: no call is added once Run waits for those in progress

Cause: Run waited with calls.Wait while orders and reports could still add calls with calls.Go: a data race on the wait group, and calls that outlived Run.

Change: calls are added under the lock, and none once Run is ending. A start that arrives then is reported as refused.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -347,7 +347,7 @@
 		case s.listMalformed:
 			r.phase, r.unlisted = stopping, true
 			s.opts.Logger.WithFields(log.Fields{"task": run.Task.String(), "run": run.Number}).Warn("run not listed beside a malformed entry; stopping it")
-			s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+			s.call(func() { s.stopUntilConfirmed(ctx, run, r) })
 		default:
 			s.dropRun(run, runner.RefusedIncarnationEnded, causeNotListed)
 		}
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -26,6 +26,8 @@
 	causeWithdrawn = "withdrawn"
 	// causeOtherIncarnation: the start was planned for another incarnation of the runner.
 	causeOtherIncarnation = "other-incarnation"
+	// causeEnding: the agent's process is ending.
+	causeEnding = "agent-ending"
 	// causeNotListed: the runner's lists do not name the run.
 	causeNotListed = "not-listed"
 )
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -54,11 +54,14 @@
 		s.dropRun(run, runner.RefusedUnhealthy, causeUnregistered)
 		return
 	}
-	s.calls.Go(func() {
+	called := s.call(func() {
 		if s.start(ctx, o, r) {
 			s.stopUnconfirmed(ctx, run, r)
 		}
 	})
+	if !called {
+		s.dropRun(run, runner.RefusedLate, causeEnding)
+	}
 }
 
 // start sends the calls to start a run. unconfirmed is set if the start may have taken effect.
@@ -189,7 +192,7 @@
 		return
 	}
 	r.phase = stopping
-	s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+	s.call(func() { s.stopUntilConfirmed(ctx, run, r) })
 }
 
 // stopUnconfirmed stops a run whose start is unconfirmed, so that a start request that is
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -201,7 +201,9 @@
 	notify      chan struct{}
 	renewNow    chan struct{}
 	callSlots   chan struct{}
-	calls       sync.WaitGroup
+	// calls are the calls in progress. None is added once ended is set.
+	calls sync.WaitGroup
+	ended bool
 	// throttling is the context of throttle calls. It ends with the context of Run.
 	throttling    context.Context
 	endThrottling context.CancelFunc
@@ -366,9 +368,27 @@
 	s.opts.Logger.WithField("token", s.token).Warn("fencing token lower than runner's; raised")
 }
 
-// Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err().
+// call runs a call to the runner in the background. It returns false, and runs nothing, once Run is ending.
+// The caller holds the lock, so that no call is added after Run has begun to wait for those in progress.
+func (s *Supervisor) call(do func()) bool {
+	if s.ended {
+		return false
+	}
+	s.calls.Go(do)
+	return true
+}
+
+func (s *Supervisor) end() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.calls.Wait()
+}
+
+// Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err(). Orders that arrive
+// later are not carried out.
 func (s *Supervisor) Run(ctx context.Context) error {
-	defer s.calls.Wait()
+	defer s.end()
 	stop := context.AfterFunc(ctx, s.endThrottling)
 	defer stop()
 	s.renewLoop(ctx)
--- a/internal/supervisor/throttle.go
+++ b/internal/supervisor/throttle.go
@@ -131,8 +131,7 @@
 	if r.speed.calling || !s.needsThrottleCall(r) {
 		return
 	}
-	r.speed.calling = true
-	s.calls.Go(func() {
+	r.speed.calling = s.call(func() {
 		for range throttleAttempts {
 			if s.throttleOnce(run, r) {
 				break
--- a/internal/supervisor/withdrawn.go
+++ b/internal/supervisor/withdrawn.go
@@ -72,5 +72,5 @@
 	}
 	r.phase = stopping
 	s.opts.Logger.WithFields(log.Fields{"task": run.Task.String(), "run": run.Number}).Warn("stopping run that was withdrawn")
-	s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+	s.call(func() { s.stopUntilConfirmed(ctx, run, r) })
 }
