soak: the full output of a process that ends badly is kept

Change: all such lines are part of the failure; a process that exits with a status other than 0 is a failure, also while it is being stopped; the output of all processes of a failed run is kept, in a new folder without -soak.keep.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -134,8 +134,8 @@
 	t.Logf("%d jobs, %d runner events, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
 		len(cl.jobs.all()), len(cl.history.events), time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
 	for _, p := range cl.all() {
-		if line := p.logs.malformedLine(); line != "" {
-			cl.history.failf("%s wrote a log line that is not JSON: %s", p.name, line)
+		if lines := p.logs.malformedLines(); lines != "" {
+			cl.history.failf("%s wrote log lines that are not JSON:\n%s", p.name, lines)
 		}
 		if p.logs.contains("panic") {
 			cl.history.failf("%s panicked", p.name)
@@ -149,9 +149,11 @@
 		for _, f := range failures {
 			t.Error(f)
 		}
+		dir := ""
 		if *keep != "" {
-			cl.saveLogs(filepath.Join(*keep, fmt.Sprint(seed)))
+			dir = filepath.Join(*keep, fmt.Sprint(seed))
 		}
+		cl.saveLogs(dir)
 	}
 }
 
--- a/test/soak/tables_test.go
+++ b/test/soak/tables_test.go
@@ -210,7 +210,7 @@
 	cl := newCluster(t, 1, 0, 2, 2, options{membership})
 	o := &oddRows{cluster: cl, c: &callers{cluster: cl, client: &http.Client{Transport: &http.Transport{}}}, r: rand.New(rand.NewPCG(1, 9))}
 	t.Cleanup(func() {
-		if *keep != "" && t.Failed() {
+		if t.Failed() {
 			cl.saveLogs(*keep)
 		}
 	})
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -202,10 +202,16 @@
 	close(ended)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus)
+	exited := !ok || !status.Signaled()
+	if exited && err != nil {
+		// The race detector makes a process that ends as it should exit with a status other than 0.
+		p.cluster.history.failf("%s ended badly: %v", p.name, err)
+	}
 	if p.cmd != cmd || p.stopping {
 		return
 	}
-	if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); !ok || !status.Signaled() {
+	if exited {
 		p.cluster.history.failf("%s exited unexpectedly: %v", p.name, err)
 	}
 	<-time.After(restartDelay)
@@ -295,21 +301,22 @@
 	return l.buf.Write(p)
 }
 
-// malformedLine returns the first line that is not a JSON object. The last line of a killed
-// process may be truncated and directly followed by the first line after the restart.
-func (l *logBuffer) malformedLine() string {
+// malformedLines returns all lines that are not JSON objects, such as a report of the race detector or a panic.
+// The last line of a killed process may be truncated and directly followed by the first line after the restart.
+func (l *logBuffer) malformedLines() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var malformed []byte
 	for line := range bytes.Lines(l.buf.Bytes()) {
 		line = bytes.TrimSpace(line)
 		if i := bytes.LastIndex(line, []byte(`{"level"`)); i > 0 {
 			line = line[i:]
 		}
 		if len(line) > 0 && !json.Valid(line) && line[0] != '{' {
-			return string(line)
+			malformed = append(append(malformed, line...), '\n')
 		}
 	}
-	return ""
+	return string(malformed)
 }
 
 func (l *logBuffer) contains(text string) bool {
@@ -318,9 +325,16 @@
 	return bytes.Contains(l.buf.Bytes(), []byte(text))
 }
 
-// saveLogs writes the logs of all processes of a failed run to a folder.
+// saveLogs writes the full output of all processes of a failed run to a folder: the given one, or a new one that
+// is kept if none is given.
 func (cl *cluster) saveLogs(dir string) {
+	if dir == "" {
+		var err error
+		dir, err = os.MkdirTemp("", "bamboowood-soak-") // unlike t.TempDir, it is kept
+		must.NoError(cl.t, err)
+	}
 	must.NoError(cl.t, os.MkdirAll(dir, 0o700))
+	cl.t.Logf("output of all processes: %s", dir)
 	for _, p := range cl.all() {
 		p.logs.mu.Lock()
 		must.NoError(cl.t, os.WriteFile(filepath.Join(dir, p.name+".log"), p.logs.buf.Bytes(), 0o600))
