planner: a long run is not stalled while one percent takes longer than 1.5 s

Cause: progress is reported in whole percents, and a run without a change for 1.5 s (best-effort: 4 s) was stopped as stalled. A task that takes over 150 s, or a straggler of 30 s that takes 7 times as long, was stopped and started again for ever.

Change: the limit is at least the longest time for one percent: 7 times the estimate, which may be short by a factor of 1.9, plus half a second for reports. Nothing changes for estimates of up to 7.5 s.

--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -23,12 +23,17 @@
 	// its next report arrives first.
 	capacityBackoff = 250 * time.Millisecond
 	// stallTimeout is the time without progress after which a run counts as stalled.
-	// Reports arrive twice a second; a healthy task progresses by one percent in a
-	// twentieth of this time.
+	// Reports arrive twice a second; a healthy short task progresses by one percent in a
+	// twentieth of this time. For long ones see stallLimit.
 	stallTimeout = 1500 * time.Millisecond
 	// bestEffortStallTimeout is the same for best-effort runs, which may get no CPU for a
 	// while.
 	bestEffortStallTimeout = 4 * time.Second
+	// slowestPercent is the longest time that a healthy run takes for one percent, as a share of its
+	// estimate: estimates are short by a factor of up to 1.9, and 3 of 100 tasks take 7 times as long.
+	slowestPercent = 1.9 * 7 / 100
+	// reportTime is by how much a report may be later than the progress it shows.
+	reportTime = 500 * time.Millisecond
 	// zeroSpeedTimeout is the time at speed 0 after which a best-effort run is stopped if
 	// another runner has capacity for its task.
 	zeroSpeedTimeout = 1500 * time.Millisecond
@@ -148,7 +153,13 @@
 		}
 		limit = bestEffortStallTimeout
 	}
-	return now-r.progressAt > limit
+	return now-r.progressAt > stallLimit(limit, s.step.Estimate)
+}
+
+// stallLimit returns how long a run may show no progress: at least atLeast, and as long as one percent may
+// take, since progress is reported in whole percents.
+func stallLimit(atLeast, estimate time.Duration) time.Duration {
+	return max(atLeast, time.Duration(slowestPercent*float64(estimate))+reportTime)
 }
 
 // outlasts reports whether a run is expected to be still running when its runner leaves.
