--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -30,6 +30,11 @@
 	// agentRetryDelay is the pause after the first failed attempt to reach an agent. It
 	// doubles with each further one.
 	agentRetryDelay = 200 * time.Millisecond
+	// pageOfEnds is the number of ends that a runner lists at most. Agents of the previous version take such a
+	// list for complete: for fullPageHold, runs that they do not list do not count as absent. Each further page
+	// takes one commit.
+	pageOfEnds   = 500
+	fullPageHold = 4 * time.Second
 	// maxAgentRetryDelay bounds that pause.
 	maxAgentRetryDelay = 1600 * time.Millisecond
 )
@@ -197,8 +202,12 @@
 	c.applyEnds(now, m)
 	runner := wire.Runner(m.Runner)
 	active := wire.Activities(m.Active)
-	if m.UnlistedRunsMs > 0 {
-		r.planner.RunsUnlistedUntil(c.id, now+time.Duration(m.UnlistedRunsMs)*time.Millisecond)
+	unlisted := time.Duration(m.UnlistedRunsMs) * time.Millisecond
+	if len(m.Ends) >= pageOfEnds && !m.MoreEnds {
+		unlisted = max(unlisted, fullPageHold)
+	}
+	if unlisted > 0 {
+		r.planner.RunsUnlistedUntil(c.id, now+unlisted)
 	} else {
 		r.planner.RunsUnlistedUntil(c.id, 0)
 	}
