--- a/internal/leader/split.go
+++ b/internal/leader/split.go
@@ -51,7 +51,7 @@
 	if len(later.Stops)+len(later.Paces) > 0 {
 		messages = append(messages, later)
 	}
-	orderMessagesSplit.Add(len(messages) - 1)
+	messagesSplit.Add(len(messages) - 1)
 	return messages
 }
 
