--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -208,6 +208,9 @@
 
 // apply applies a message if its session is still the current one. It holds the lock, so that
 // no order of an old session takes effect after the snapshot of a new one.
+//
+// A message holds several orders for one run if the leader has made them since its last message. Stops come
+// first: they are urgent, and prevent starts that follow them. Speed limits come after the starts of their runs.
 func (f *Follower) apply(ctx context.Context, session wire.Session, m *wirepb.LeaderMessage) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -221,7 +224,6 @@
 	if d := m.Stored; d != nil {
 		s.EndsStored(d.RunnerId, d.Born, d.Sequence)
 	}
-	s.SetDetails(f.details(m.Details))
 	for _, ref := range m.Stops {
 		if run, err := wire.Run(ref); err == nil {
 			s.Stop(ctx, run)
@@ -229,13 +231,6 @@
 			f.opts.Logger.WithError(err).Error("malformed stop order skipped")
 		}
 	}
-	for _, o := range m.Paces {
-		if run, err := wire.Run(o.Run); err == nil {
-			s.Throttle(run, int(o.Percent))
-		} else {
-			f.opts.Logger.WithError(err).Error("malformed throttle order skipped")
-		}
-	}
 	for _, o := range m.Starts {
 		if d := f.details([]*wirepb.RunDetails{o.Details}); len(d) == 1 {
 			payload, ok := f.payload(d[0].Run.Task.Job, o)
@@ -246,9 +241,18 @@
 			s.Start(ctx, supervisor.Order{
 				Details: d[0], Payload: payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 				ValidUntil: time.Duration(o.ValidUntil), Speed: wire.Speed(o.Speed),
+				RunnerID: o.RunnerId, StartTime: o.Born,
 			})
 		}
 	}
+	s.SetDetails(f.details(m.Details))
+	for _, o := range m.Paces {
+		if run, err := wire.Run(o.Run); err == nil {
+			s.Throttle(run, int(o.Percent))
+		} else {
+			f.opts.Logger.WithError(err).Error("malformed throttle order skipped")
+		}
+	}
 	return nil
 }
 
@@ -306,14 +310,18 @@
 }
 
 // nextMessage returns the next message of a session: the snapshot once it is ready, and updates after
-// it. sent is set once the snapshot has been returned. current is false if another session has taken
-// over, which then has all further updates.
+// it. sent is set once the snapshot has been returned. current is false if the session is to end: another one
+// has taken over, or is to begin with a new snapshot. That one has all further updates.
 func (f *Follower) nextMessage(session wire.Session, snapshot bool) (m *wirepb.AgentMessage, sent, current bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != session {
 		return nil, snapshot, false
 	}
+	if snapshot && f.opts.Supervisor.SnapshotOutdated() {
+		f.opts.Logger.Info("session closed; the next one begins with a snapshot with more ends")
+		return nil, true, false
+	}
 	if snapshot {
 		u, _ := f.opts.Supervisor.TakeUpdate()
 		return message(u), true, true
@@ -321,7 +329,7 @@
 	u, ok := f.opts.Supervisor.Snapshot()
 	m = message(u)
 	m.Snapshot = ok
-	m.UnlistedRunsMs = u.UnlistedFor.Milliseconds()
+	m.UnlistedRunsMs, m.MoreEnds = u.UnlistedFor.Milliseconds(), u.MoreEnds
 	return m, ok, true
 }
 
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -21,6 +21,7 @@
 	endsHeld          = metrics.NewCounter("bamboowood_ends_held_total")
 	unreadableTerms   = metrics.NewCounter("bamboowood_terms_unreadable_total")
 	rowsUnreadable    = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
+	messagesSplit     = metrics.NewCounter("bamboowood_order_messages_split_total")
 	unusableAddresses = metrics.NewCounter("bamboowood_agents_without_address_total")
 	adviceFailures    = metrics.NewCounter("bamboowood_advice_failed_total")
 	commitSeconds     = metrics.NewHistogram("bamboowood_ledger_commit_seconds")
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -28,7 +28,7 @@
 	c.send(func(out *wirepb.LeaderMessage) {
 		order := &wirepb.StartOrder{
 			Details: runDetails(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
-			Ticket: o.Ticket, ValidUntil: int64(until),
+			Ticket: o.Ticket, ValidUntil: int64(until), RunnerId: o.RunnerID, Born: o.StartTime,
 		}
 		if o.Speed != job.FullSpeed {
 			order.Speed = proto.Int32(int32(o.Speed))
@@ -80,11 +80,13 @@
 		if m == nil {
 			return
 		}
-		m.Term = c.leadership.term.Term.Number
-		if err := stream.Send(m); err != nil {
-			c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Warn("send to agent failed")
-			_ = session.Close()
-			return
+		for _, part := range splitOrders(m) {
+			part.Term = c.leadership.term.Term.Number
+			if err := stream.Send(part); err != nil {
+				c.leadership.opts.Logger.WithError(err).WithField("agent", c.id).Warn("send to agent failed")
+				_ = session.Close()
+				return
+			}
 		}
 	}
 }
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -34,9 +34,11 @@
 	// lostAt is the version of the store from which nothing can have been started on an awaited agent; 0 if
 	// unknown.
 	lostAt int64
-	runner *job.Runner
-	rack   string
-	runs   map[job.Run]*run
+	// endsIncomplete is set if the agent's last snapshot lacked ends that its runner had not listed.
+	endsIncomplete bool
+	runner         *job.Runner
+	rack           string
+	runs           map[job.Run]*run
 	// requested is the sum of the resources requested by all runs, except the CPU of
 	// best-effort runs.
 	requested job.Resources
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -252,10 +252,12 @@
 	}
 	s.listMalformed = report.Unreadable > 0
 	s.applyEnds(report.Ends)
+	s.applyEndPage(report)
 	listed := make(map[job.Run]bool, len(report.Active))
 	for _, act := range report.Active {
 		listed[act.Run] = true
 		s.applyActivity(act)
+		s.stopIfWithdrawn(ctx, act.Run)
 	}
 	for run, r := range s.runs {
 		// A run in neither list may have an end that the runner has not listed yet.
@@ -348,7 +350,7 @@
 		case s.listMalformed:
 			r.phase, r.unlisted = stopping, true
 			s.opts.Logger.WithFields(log.Fields{"task": run.Task.String(), "run": run.Number}).Warn("run not listed beside a malformed entry; stopping it")
-			s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+			s.call(func() { s.stopUntilConfirmed(ctx, run, r) })
 		default:
 			s.dropRun(run, runner.RefusedIncarnationEnded, causeNotListed)
 		}
--- a/internal/supervisor/metrics.go
+++ b/internal/supervisor/metrics.go
@@ -22,6 +22,12 @@
 	causeNoListener = "no-listener"
 	// causeLeaseExpired: the lease of an unresponsive runner has expired.
 	causeLeaseExpired = "lease-expired"
+	// causeWithdrawn: the run was stopped before its start arrived, or had been reported as not started.
+	causeWithdrawn = "withdrawn"
+	// causeOtherIncarnation: the start was planned for another incarnation of the runner.
+	causeOtherIncarnation = "other-incarnation"
+	// causeEnding: the agent's process is ending.
+	causeEnding = "agent-ending"
 	// causeNotListed: the runner's lists do not name the run.
 	causeNotListed = "not-listed"
 )
@@ -52,6 +58,8 @@
 	throttleCallsFailed = metrics.NewCounter("bamboowood_throttle_calls_failed_total")
 	// pauses counts the pauses of the best-effort runs on the runner.
 	pauses = metrics.NewCounter("bamboowood_best_effort_pauses_total")
+	// partialSnapshots counts snapshots that were taken before the runner had listed all of its ends.
+	partialSnapshots = metrics.NewCounter("bamboowood_partial_snapshots_total")
 )
 
 // countSpeedContradicted counts reports whose CPU contradicts the speed limit in force.
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -30,12 +30,21 @@
 	if s.runs[run] != nil {
 		return
 	}
+	if s.withdrawn.refuses(s.opts.Now(), run) {
+		s.runs[run] = &taskRun{details: o.Details, phase: stopping}
+		s.dropRun(run, runner.RefusedLate, causeWithdrawn)
+		return
+	}
 	speed := speedControl{ordered: o.Speed, inForce: job.SpeedOf(fullSpeed), confirmedAt: s.opts.Now()}
 	if !speed.ordered.Known {
 		speed.ordered = job.SpeedOf(fullSpeed)
 	}
 	r := &taskRun{details: o.Details, detailsKnown: true, speed: speed, activity: job.Activity{Run: run, Checkpoint: o.Checkpoint, Unconfirmed: true}}
 	s.runs[run] = r
+	if !o.isFor(s.runner) {
+		s.dropRun(run, runner.RefusedLate, causeOtherIncarnation)
+		return
+	}
 	if s.runner == nil || s.runner.Draining {
 		s.dropRun(run, runner.RefusedUnhealthy, causeRefused)
 		return
@@ -45,11 +54,14 @@
 		s.dropRun(run, runner.RefusedUnhealthy, causeUnregistered)
 		return
 	}
-	s.calls.Go(func() {
+	called := s.call(func() {
 		if s.start(ctx, o, r) {
 			s.stopUnconfirmed(ctx, run, r)
 		}
 	})
+	if !called {
+		s.dropRun(run, runner.RefusedLate, causeEnding)
+	}
 }
 
 // start sends the calls to start a run. unconfirmed is set if the start may have taken effect.
@@ -65,6 +77,13 @@
 			s.mu.Unlock()
 			break
 		}
+		if !o.isFor(s.runner) {
+			if !sent {
+				s.dropRun(o.Details.Run, runner.RefusedLate, causeOtherIncarnation)
+			}
+			s.mu.Unlock()
+			break
+		}
 		if now := s.opts.Now(); lease == 0 || o.expired(now) {
 			if !sent {
 				s.opts.Logger.WithFields(log.Fields{
@@ -159,16 +178,21 @@
 	s.signal(s.renewNow)
 }
 
-// Stop stops a run in the background. Its end is part of a later update.
+// Stop stops a run in the background. Its end is part of a later update. If the run is not known, an order
+// to start it that is still to come is refused.
 func (s *Supervisor) Stop(ctx context.Context, run job.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[run]
-	if r == nil || r.phase == stopping {
+	if r == nil {
+		s.withdrawn.add(s.opts.Now(), run)
+		return
+	}
+	if r.phase == stopping {
 		return
 	}
 	r.phase = stopping
-	s.calls.Go(func() { s.stopUntilConfirmed(ctx, run, r) })
+	s.call(func() { s.stopUntilConfirmed(ctx, run, r) })
 }
 
 // stopUnconfirmed stops a run whose start is unconfirmed, so that a start request that is
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -42,6 +42,14 @@
 	ValidUntil time.Duration
 	// Speed is the initial speed limit; unknown means full speed.
 	Speed job.Speed
+	// RunnerID and StartTime name the incarnation for which the start was planned. An empty id means any.
+	RunnerID  string
+	StartTime int64
+}
+
+// isFor reports whether the start may be carried out on an incarnation.
+func (o *Order) isFor(r *job.Runner) bool {
+	return o.RunnerID == "" || r != nil && r.ID == o.RunnerID && r.StartTime == o.StartTime
 }
 
 // RunDetails holds the properties of a run that throttling needs.
@@ -71,8 +79,10 @@
 	Ends     []job.End
 	Refusals []RefusedStart
 	// UnlistedFor is for how long runs may be alive that Active lacks: those of an earlier process of
-	// this agent on a runner that has been replaced. Only snapshots have it.
+	// this agent on a runner that has been replaced, or with an end that the runner has not listed yet. Only
+	// snapshots have it. MoreEnds is set if the latter is the only reason.
 	UnlistedFor time.Duration
+	MoreEnds    bool
 }
 
 func (u *Update) empty() bool {
@@ -136,6 +146,7 @@
 	adoptions int
 	token     int64
 	runs      map[job.Run]*taskRun
+	withdrawn withdrawnRuns
 	// ends are the ends that the ledger has not stored yet. receivedEnd is the sequence
 	// number of the last end received, storedEnd that of the last end stored.
 	ends        []job.End
@@ -166,6 +177,7 @@
 	// runsKnownAt, the leases of runs that this process may not have on record have expired.
 	runsListed  bool
 	runsKnownAt time.Duration
+	pages       endPages
 	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
 	earlierLeaseUntil time.Duration
 	// bootRegistered is set once the ledger has that this process runs in the current boot of the VM.
@@ -191,7 +203,9 @@
 	notify      chan struct{}
 	renewNow    chan struct{}
 	callSlots   chan struct{}
-	calls       sync.WaitGroup
+	// calls are the calls in progress. None is added once ended is set.
+	calls sync.WaitGroup
+	ended bool
 	// throttling is the context of throttle calls. It ends with the context of Run.
 	throttling    context.Context
 	endThrottling context.CancelFunc
@@ -220,7 +234,7 @@
 		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
-		standaloneCap: newStandaloneCap(),
+		standaloneCap: newStandaloneCap(), withdrawn: newWithdrawnRuns(),
 	}
 }
 
@@ -356,9 +370,27 @@
 	s.opts.Logger.WithField("token", s.token).Warn("fencing token lower than runner's; raised")
 }
 
-// Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err().
+// call runs a call to the runner in the background. It returns false, and runs nothing, once Run is ending.
+// The caller holds the lock, so that no call is added after Run has begun to wait for those in progress.
+func (s *Supervisor) call(do func()) bool {
+	if s.ended {
+		return false
+	}
+	s.calls.Go(do)
+	return true
+}
+
+func (s *Supervisor) end() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.calls.Wait()
+}
+
+// Run renews the lease until ctx is done, waits for calls in progress and returns ctx.Err(). Orders that arrive
+// later are not carried out.
 func (s *Supervisor) Run(ctx context.Context) error {
-	defer s.calls.Wait()
+	defer s.end()
 	stop := context.AfterFunc(ctx, s.endThrottling)
 	defer stop()
 	s.renewLoop(ctx)
