--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -153,12 +153,10 @@
 	return stretched + max(min(j.Queue.Slack, MaxAhead), 0)
 }
 
-// Exceeds reports whether a task of the job requests more than the given resources. The CPU of
-// best-effort tasks does not count, since they use what others leave idle.
+// Exceeds reports whether a task of the job requests more than the given resources.
 func (j *Job) Exceeds(r Resources) bool {
 	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.MemoryMB > r.MemoryMB || s.GPUs > r.GPUs || !s.BestEffort && s.CPU > r.CPU {
+		if !r.Holds(&j.Steps[i]) {
 			return true
 		}
 	}
--- a/internal/job/run.go
+++ b/internal/job/run.go
@@ -105,6 +105,12 @@
 	GPUs     int64
 }
 
+// Holds reports whether a task of the step requests at most these resources. The CPU of best-effort
+// tasks does not count, since they use what others leave idle.
+func (r Resources) Holds(s *Step) bool {
+	return s.MemoryMB <= r.MemoryMB && s.GPUs <= r.GPUs && (s.BestEffort || s.CPU <= r.CPU)
+}
+
 // Runner is a runner's status report.
 type Runner struct {
 	// ID and StartTime together identify one incarnation of a runner: one start of its
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -141,6 +141,7 @@
 	loads := r.planner.Loads(r.opts.Now())
 	fleet := r.planner.Fleet(r.opts.Now())
 	r.mu.Unlock()
+	blamedFailures.Set(uint64(stats.BlamedFailures))
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
 		"lapses": stats.LeaseExpirations, "failures": stats.Failures, "refusals": stats.Refusals,
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -18,6 +18,7 @@
 	termsLedTotal     = metrics.NewCounter("bamboowood_terms_led_total")
 	renewFailures     = metrics.NewCounter("bamboowood_term_renewals_failed_total")
 	jobsQuarantined   = metrics.NewCounter("bamboowood_jobs_set_aside_total")
+	blamedFailures    = metrics.NewCounter("bamboowood_failures_not_counted_against_runners_total")
 	endsHeld          = metrics.NewCounter("bamboowood_ends_held_total")
 	unreadableTerms   = metrics.NewCounter("bamboowood_terms_unreadable_total")
 	rowsUnreadable    = metrics.NewCounter("bamboowood_ledger_rows_unreadable_total")
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -74,6 +74,9 @@
 		options = append(options, option{a.runner.ID, p.placementCost(now, a, s, &s.tasks[0], "")})
 	}
 	if len(options) == 0 {
+		if excludeEjected && p.mayUseEjected(now, s) {
+			p.requestAdvice(now, s, false)
+		}
 		return
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -49,8 +49,18 @@
 	probationWeight = 2
 )
 
-// pickAgent returns the agent with the lowest cost for a task, nil if none is eligible.
+// pickAgent returns the agent with the lowest cost for a task, nil if none is eligible. An ejected
+// runner is used if no other may run the step.
 func (p *Planner) pickAgent(now time.Duration, s *stepState, t *taskState, opts pickOptions) *agent {
+	a := p.pickEligible(now, s, t, opts)
+	if a == nil && opts.excludeEjected && !t.pausesForEjected(now, s) && p.mayUseEjected(now, s) {
+		opts.excludeEjected = false
+		a = p.pickEligible(now, s, t, opts)
+	}
+	return a
+}
+
+func (p *Planner) pickEligible(now time.Duration, s *stepState, t *taskState, opts pickOptions) *agent {
 	var best *agent
 	bestCost := 0.0
 	rack := ""
@@ -77,17 +87,21 @@
 }
 
 func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, opts pickOptions) bool {
+	return p.permitted(a, s) && now >= a.health.backoffUntil && !(opts.excludeEjected && a.health.ejected(now)) &&
+		a.fits(s.step, opts.overcommit)
+}
+
+// permitted reports whether the rules allow another task of the step on the agent's runner.
+func (p *Planner) permitted(a *agent, s *stepState) bool {
 	switch {
 	case a.state != live || a.runner == nil || a.runner.Draining,
 		p.site.Drained[a.runner.Zone],
 		a.runner.Service != s.job.job.Queue.Service,
-		now < a.health.backoffUntil,
-		opts.excludeEjected && a.health.ejected(now),
 		s.step.RequiredLabel != "" && !slices.Contains(a.runner.Labels, s.step.RequiredLabel),
 		s.step.MaxPerRunner > 0 && s.runsOnAgent[a] >= s.step.MaxPerRunner:
 		return false
 	}
-	return a.fits(s.step, opts.overcommit)
+	return true
 }
 
 // fits reports whether a task of the step fits into the runner's free capacity.
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -42,8 +42,9 @@
 
 // health holds a runner's recent failures, its ejection and its backoff.
 type health struct {
-	// failedJobs holds the jobs that have failed on the runner since its last success.
-	failedJobs map[string]struct{}
+	// failures holds the jobs that have failed on the runner since its last success, with the trials of
+	// the step that failed.
+	failures map[string]*trials
 	// ejections counts the ejections since the last success.
 	ejections    int
 	ejectedUntil time.Duration
@@ -58,23 +59,43 @@
 
 func (h *health) ejected(now time.Duration) bool { return now < h.ejectedUntil }
 
+// suspectingJobs counts the jobs whose failures give evidence against the runner.
+func (h *health) suspectingJobs() int {
+	n := 0
+	for _, t := range h.failures {
+		if !t.blameJob() {
+			n++
+		}
+	}
+	return n
+}
+
 // onProbation reports whether the runner was ejected and has not succeeded since.
-func (h *health) onProbation() bool { return h.ejections > 0 && len(h.failedJobs) > 0 }
+func (h *health) onProbation() bool { return h.ejections > 0 && h.suspectingJobs() > 0 }
 
-func (h *health) recordFailure(now time.Duration, job string) {
-	if h.failedJobs == nil {
-		h.failedJobs = map[string]struct{}{}
+func (h *health) recordFailure(now time.Duration, job string, t *trials) {
+	if h.failures == nil {
+		h.failures = map[string]*trials{}
 	}
-	h.failedJobs[job] = struct{}{}
-	if len(h.failedJobs) < ejectAfter && !h.onProbation() {
+	if h.suspectingJobs() == 0 {
+		h.ejections = 0
+	}
+	h.failures[job] = t
+	if h.suspectingJobs() < ejectAfter && !h.onProbation() {
 		return
 	}
 	h.ejectedUntil = now + min(firstEjection<<min(h.ejections, 10), maxEjection)
 	h.ejections++
 }
 
-func (h *health) recordSuccess() {
-	clear(h.failedJobs)
+// recordSuccess records that a task of a job succeeded on the runner.
+func (h *health) recordSuccess(job string) {
+	for id, t := range h.failures {
+		if id != job {
+			t.cleared++
+		}
+	}
+	clear(h.failures)
 	h.ejections = 0
 }
 
@@ -82,14 +103,14 @@
 func (p *Planner) updateHealth(now time.Duration, a *agent, s *stepState, r *run, e job.End) {
 	switch {
 	case e.Reason == job.EndDone:
-		a.health.recordSuccess()
+		a.health.recordSuccess(s.job.job.ID)
 	case e.Reason == job.EndFailed, r != nil && r.stalled:
-		a.health.recordFailure(now, s.job.job.ID)
+		p.recordFailure(now, a, s)
 	}
 }
 
-// ejectionAllowed reports whether at most maxEjectedShare of the live agents are ejected.
-func (p *Planner) ejectionAllowed(now time.Duration) bool {
+// excludesEjected reports whether any of the live agents are ejected, and at most maxEjectedShare.
+func (p *Planner) excludesEjected(now time.Duration) bool {
 	alive, ejected := 0, 0
 	for _, a := range p.orderedAgents {
 		if a.state != live || a.runner == nil {
@@ -100,7 +121,7 @@
 			ejected++
 		}
 	}
-	return float64(ejected) <= maxEjectedShare*float64(alive)
+	return ejected > 0 && float64(ejected) <= maxEjectedShare*float64(alive)
 }
 
 // stopStalledRuns stops stalled runs, runs that would outlast their draining runner, and
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -33,7 +33,7 @@
 		l := AgentLoad{
 			ID: a.id, State: a.state.String(), Runs: len(a.runs), Requested: a.requested, BestEffortCPU: a.bestEffortCPU,
 			LatencyCritical: a.criticalTasks, Ejected: a.health.ejected(now),
-			RecentFailures: len(a.health.failedJobs),
+			RecentFailures: a.health.suspectingJobs(),
 		}
 		for _, r := range a.runs {
 			if r.step.step.BestEffort {
--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -58,7 +58,7 @@
 		step := &js.job.Steps[i]
 		occ.steps[i] = stepState{
 			job: js, occ: occ, index: i, step: step, tasks: make([]taskState, step.Tasks),
-			runsOnAgent: map[*agent]int{},
+			runsOnAgent: map[*agent]int{}, trials: &trials{},
 		}
 		if js.job.Queue.Advice != nil {
 			occ.steps[i].advice = newAdvice()
--- a/internal/planner/orphan.go
+++ b/internal/planner/orphan.go
@@ -24,7 +24,7 @@
 	js := &jobState{
 		job: &job.Job{ID: act.Run.Task.Job}, state: job.Cancelled, storedState: job.Cancelled, open: map[int]*occurrence{},
 	}
-	s := &stepState{job: js, step: &step, tasks: make([]taskState, 1), runsOnAgent: map[*agent]int{}}
+	s := &stepState{job: js, step: &step, tasks: make([]taskState, 1), runsOnAgent: map[*agent]int{}, trials: &trials{}}
 	r := p.addRun(now, a, s, &s.tasks[0], act.Run)
 	r.cpu = act.CPU
 	p.stopRun(r, p.orphanReason(act.Run.Task))
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -199,7 +199,7 @@
 	slices.SortStableFunc(candidates, candidate.compare)
 	p.deferOccurrences(now, candidates)
 	slices.SortStableFunc(candidates, candidate.compare)
-	excludeEjected := p.ejectionAllowed(now)
+	excludeEjected := p.excludesEjected(now)
 	for _, c := range candidates {
 		if p.startBudgetSpent() {
 			break
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,6 +103,8 @@
 // Stats count decisions since the planner was created.
 type Stats struct {
 	Starts, Stops, Stalls, LeaseExpirations, Failures, Refusals, Deferrals int64
+	// BlamedFailures counts the failures that were a job's own fault and were not counted against a runner.
+	BlamedFailures int64
 }
 
 // New returns a planner without jobs and agents.
@@ -183,6 +185,7 @@
 	advice *advice
 	// runsOnAgent counts live runs by agent, for MaxPerRunner.
 	runsOnAgent map[*agent]int
+	trials      *trials
 	// gangRunNumber is the last run number of a gang. Its members share the number and
 	// the checkpoint.
 	gangRunNumber  int64
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -66,6 +66,7 @@
 	a.runs[id] = r
 	a.addRequest(now, s.step, 1)
 	s.runsOnAgent[a]++
+	s.trials.startedOn = len(s.runsOnAgent)
 	s.job.liveRuns++
 	s.job.workingRuns++
 	return r
