--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -135,6 +135,8 @@
 	rank     int
 	priority int
 	slack    time.Duration
+	// started is set for a starved job once one of its tasks has been started in this plan.
+	started bool
 }
 
 func (p *Planner) rankStep(now time.Duration, s *stepState) candidate {
@@ -199,28 +201,7 @@
 	slices.SortStableFunc(candidates, candidate.compare)
 	p.deferOccurrences(now, candidates)
 	slices.SortStableFunc(candidates, candidate.compare)
-	excludeEjected := p.excludesEjected(now)
-	for _, c := range candidates {
-		if p.startBudgetSpent() {
-			break
-		}
-		p.currentJob = c.step.job.job.ID
-		if c.step.step.BestEffort && now < c.step.retryAt && c.rank != rankStarved {
-			continue
-		}
-		if c.step.advice != nil {
-			p.requestAdvice(now, c.step, excludeEjected)
-		}
-		switch {
-		case c.step.step.Gang:
-			p.starts = p.startGang(now, c.step, excludeEjected, p.starts)
-		case c.rank == rankStarved && c.step.job.workingRuns == 0:
-			p.starts = p.startTasks(now, c.step, pickOptions{excludeEjected: excludeEjected, overcommit: true, maxStarts: 1}, p.starts)
-		default:
-			p.starts = p.startTasks(now, c.step, pickOptions{excludeEjected: excludeEjected}, p.starts)
-		}
-	}
-	p.currentJob = ""
+	p.startCandidates(now, candidates, p.excludesEjected(now))
 	p.newJobsWaiting = slices.ContainsFunc(candidates, func(c candidate) bool { return c.isNewAndWaiting(now) })
 	p.stats.Starts += int64(len(p.starts) - startsBefore)
 }
@@ -231,9 +212,6 @@
 	return c.rank == rankInTime && !c.step.step.Continuous && c.step.waitingTasks > 0 && now-c.step.occ.due < newJobAge
 }
 
-// startBudgetSpent reports whether no further start may be ordered in this plan.
-func (p *Planner) startBudgetSpent() bool { return p.startBudgetBounded && p.startBudget <= 0 }
-
 // isMostlyIdle reports whether the requested share of the fleet's CPU is below
 // mostlyIdleShare. Best-effort tasks are not counted.
 func (p *Planner) isMostlyIdle() bool {
@@ -258,7 +236,7 @@
 		if !t.waiting || now < t.notBefore {
 			continue
 		}
-		if opts.maxStarts > 0 && len(starts)-startsBefore == opts.maxStarts || p.startBudgetSpent() {
+		if opts.maxStarts > 0 && len(starts)-startsBefore == opts.maxStarts || p.startBudget.spent() {
 			return starts
 		}
 		a := p.pickAgent(now, s, t, opts)
@@ -281,7 +259,7 @@
 		return starts
 	}
 	number := max(s.gangRunNumber+1, p.firstRunNumber())
-	startsBefore := len(starts)
+	startsBefore, bytesBefore := len(starts), p.startBudget.bytes
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		a := p.pickAgent(now, s, t, pickOptions{excludeEjected: excludeEjected})
@@ -291,6 +269,7 @@
 				p.removeRun(now, r)
 				s.setWaiting(r.task, true)
 			}
+			p.startBudget.bytes = bytesBefore
 			return starts[:startsBefore]
 		}
 		starts = append(starts, p.startRun(now, a, s, i, number, s.gangCheckpoint))
@@ -310,7 +289,7 @@
 	if speed := a.initialSpeed(now, s); speed != fullSpeed {
 		r.setSpeedLimit(now, speed)
 	}
-	p.startBudget -= int64(len(s.job.job.Payload))
+	p.startBudget.bytes -= int64(len(s.job.job.Payload))
 	o := Start{Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint, Speed: r.speedLimit}
 	if s.advice != nil {
 		o.Ticket = s.advice.tickets[a.runner.ID].text
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -85,10 +85,7 @@
 	// waited for capacity after the last plan.
 	starvationLimit            time.Duration
 	mostlyIdle, newJobsWaiting bool
-	// startBudget is the number of payload bytes that starts of this plan may still use;
-	// it applies if startBudgetBounded is set.
-	startBudget        int64
-	startBudgetBounded bool
+	startBudget                startBudget
 	// starts are the starts of the current plan so far. They are kept if the plan panics,
 	// because their runs are already accounted for, and returned by the next plan.
 	starts []Start
@@ -213,13 +210,6 @@
 // SetSite sets the operator settings, such as drained zones.
 func (p *Planner) SetSite(s *site.State) { p.site = s }
 
-// SetStartBudget limits the payload bytes of the starts that following calls of Plan return
-// to what the link carries, in sum over these calls; a call with bounded false removes the
-// limit. The budget goes to the most urgent starts. The last start may exceed it.
-func (p *Planner) SetStartBudget(bytes int64, bounded bool) {
-	p.startBudget, p.startBudgetBounded = bytes, bounded
-}
-
 // HasJob reports whether the planner has the job or has quarantined it.
 func (p *Planner) HasJob(id string) bool { return p.jobs[id] != nil || p.quarantined[id] }
 
