planner: a gang that is tried in vain does not count as work of its job

Cause: removing the members that had been placed reset the time since which the job had no working run, in each plan. Such a job never counted as starved. Change: the time is kept. Result: TestPlanner_WaitingGangIsIdle fails without the change; go test of planner: passed.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -259,7 +259,7 @@
 		return starts
 	}
 	number := max(s.gangRunNumber+1, p.firstRunNumber())
-	startsBefore, bytesBefore := len(starts), p.startBudget.bytes
+	startsBefore, bytesBefore, idleSince := len(starts), p.startBudget.bytes, s.job.idleSince
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		a := p.pickAgent(now, s, t, pickOptions{excludeEjected: excludeEjected})
@@ -269,7 +269,7 @@
 				p.removeRun(now, r)
 				s.setWaiting(r.task, true)
 			}
-			p.startBudget.bytes = bytesBefore
+			p.startBudget.bytes, s.job.idleSince = bytesBefore, idleSince
 			return starts[:startsBefore]
 		}
 		starts = append(starts, p.startRun(now, a, s, i, number, s.gangCheckpoint))
--- a/internal/planner/startbudget_test.go
+++ b/internal/planner/startbudget_test.go
@@ -71,6 +71,21 @@
 	test.Eq(t, f.startBudget.bytes, f.rate/20-2*job.MaxPayloadBytes)
 }
 
+// Guards against a job that never counts as starved, since each plan that tried its gang in vain counted as
+// work: its other steps stayed behind higher-ranked jobs.
+func TestPlanner_WaitingGangIsIdle(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	gang := step(17)
+	gang.Gang = true
+	j := testJob(1, gang)
+	f.add(j, nil, false)
+	added := f.now
+	f.now += time.Second
+	f.plan()
+	test.Eq(t, added, f.jobs[j.ID].idleSince)
+}
+
 // Guards against a wide job that takes the whole budget of each plan: a continuous job and short jobs behind
 // it were not started for the 20 s that its starts take to send.
 func TestPattern_WideJobOnSlowLink(t *testing.T) {
