ledger: progress of a legal job fits in a row of the store

Cause: a row of progress grew with each open occurrence (some 30 bytes), with each one that was done after an open one (22 bytes), and with the numbers of all failed runs, also of tasks that were done.

Change: failures of done tasks are not stored, and only the highest run number where attempts are not limited. Rows that do not fit as JSON are stored in a compact form. Previous versions cannot decode it and quarantine the job; rows that fit are as before.

--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -228,16 +225,6 @@
 	c.UnknownProgress = append(c.UnknownProgress, id)
 }
 
-var errInvalidProgress = errors.New("unknown state or number out of range")
-
-func decodeProgress(row *store.Row) (*planner.Progress, error) {
-	var p planner.Progress
-	if err := json.Unmarshal(row.Value, &p); err != nil || !p.Valid() {
-		return nil, fmt.Errorf("decode progress of %s: %w", row.Key, cmp.Or(err, errInvalidProgress))
-	}
-	return &p, nil
-}
-
 // ReadJob reads the job and the progress of one id. Jobs is empty if the job is not stored.
 func (l *Ledger) ReadJob(ctx context.Context, id string) (*Contents, error) {
 	d := Loader{ledger: l, progressRead: true}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -188,7 +188,7 @@
 	}
 	tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
 	for _, c := range changes {
-		value, err := json.Marshal(c.Progress)
+		value, err := encodeProgress(c.Progress)
 		if err != nil {
 			return fmt.Errorf("encode progress of %s: %w", c.Job, err)
 		}
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -151,3 +151,34 @@
 	f.now += 5 * time.Second
 	test.Len(t, 0, f.plan().Starts)
 }
+
+// Guards against progress that grows with failures that do not matter any more: those of done tasks, and all but
+// the last where attempts are not limited.
+func TestPlanner_ProgressKeepsNoObsoleteFailures(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	limited, unlimited := testJob(1, step(1), step(1, 0)), testJob(2, step(1))
+	limited.Queue.MaxAttempts, unlimited.Queue.MaxAttempts = 3, 0
+	f.add(limited, nil, false)
+	f.add(unlimited, nil, false)
+	last := int64(0)
+	for range 5 {
+		for _, s := range f.plan().Starts {
+			reason := job.EndFailed
+			if s.Run.Task.Job == limited.ID && s.Run.Number > f.firstRunNumber() {
+				reason = job.EndDone
+			}
+			if s.Run.Task.Job == unlimited.ID {
+				last = s.Run.Number
+			}
+			f.end("a", s.Run, reason)
+		}
+		f.now += time.Second
+	}
+	stored := map[string]*Progress{}
+	for _, js := range f.jobs {
+		stored[js.job.ID] = js.progress()
+	}
+	test.MapEmpty(t, stored[limited.ID].Open)
+	test.Eq(t, map[string][]int64{"0.0": {last}}, stored[unlimited.ID].Open[0].Failures)
+}
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -132,9 +132,15 @@
 	if s.step.Continuous {
 		return
 	}
+	if s.job.job.Queue.MaxAttempts <= 0 {
+		// Only the next run number depends on the failures: the list must not grow without bound.
+		t.failedRuns = append(t.failedRuns[:0], slices.Max(append(t.failedRuns, number)))
+		p.dirty[s.job] = struct{}{}
+		return
+	}
 	t.failedRuns = append(t.failedRuns, number)
 	p.dirty[s.job] = struct{}{}
-	if s.job.job.Queue.MaxAttempts > 0 && len(t.failedRuns) >= s.job.job.Queue.MaxAttempts {
+	if len(t.failedRuns) >= s.job.job.Queue.MaxAttempts {
 		p.finishJob(now, s.job, job.Failed)
 	}
 }
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -53,12 +53,14 @@
 	Complete bool `json:"whole,omitempty"`
 	// Done holds a bitmap of the tasks that are done, by step.
 	Done [][]byte `json:"done,omitempty"`
-	// Failures holds the numbers of the failed runs, by task as STEP.INDEX. The numbers
-	// prevent that an end that is reported again after a takeover counts twice.
+	// Failures holds the numbers of the failed runs, by task as STEP.INDEX, of the tasks that are not done.
+	// The numbers prevent that an end that is reported again after a takeover counts twice. Their order has
+	// no meaning. If the queue does not limit the attempts, only the highest is kept.
 	Failures map[string][]int64 `json:"failures,omitempty"`
 }
 
-func failureKey(step, index int) string { return strconv.Itoa(step) + "." + strconv.Itoa(index) }
+// FailureKey returns the key of a task in OccurrenceProgress.Failures.
+func FailureKey(step, index int) string { return strconv.Itoa(step) + "." + strconv.Itoa(index) }
 
 func (pr *Progress) occurrenceDone(k int) bool {
 	if pr == nil {
@@ -89,8 +91,9 @@
 		if s.index < len(o.Done) && bit(o.Done[s.index], i) {
 			s.tasks[i].done = true
 			s.doneTasks++
+			continue
 		}
-		s.tasks[i].failedRuns = o.Failures[failureKey(s.index, i)]
+		s.tasks[i].failedRuns = slices.Clone(o.Failures[FailureKey(s.index, i)])
 		for _, number := range s.tasks[i].failedRuns {
 			s.tasks[i].lastRunNumber = max(s.tasks[i].lastRunNumber, number)
 		}
@@ -136,11 +139,12 @@
 			if s.tasks[t].done {
 				pr.Done[i][t/8] |= 1 << (t % 8)
 			}
-			if len(s.tasks[t].failedRuns) > 0 {
+			// The failures of a task that is done do not matter any more.
+			if !s.tasks[t].done && len(s.tasks[t].failedRuns) > 0 {
 				if pr.Failures == nil {
 					pr.Failures = map[string][]int64{}
 				}
-				pr.Failures[failureKey(i, t)] = slices.Clone(s.tasks[t].failedRuns)
+				pr.Failures[FailureKey(i, t)] = slices.Clone(s.tasks[t].failedRuns)
 				empty = false
 			}
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -74,8 +74,16 @@
 	Remove []Key
 }
 
-// MaxTxEntries is the platform's limit of entries in a Tx: Expect, Writes and Remove together.
-const MaxTxEntries = 100
+// Limits of the platform.
+const (
+	// MaxTxEntries bounds the entries in a Tx: Expect, Writes and Remove together.
+	MaxTxEntries = 100
+	// MaxRowBytes bounds the value of a row.
+	MaxRowBytes = 65_536
+	// MaxTxValueBytes bounds the values of a Tx together. The platform allows for 1 MB in one call, in which
+	// values take four thirds of their size and each entry up to some hundred bytes.
+	MaxTxValueBytes = 600_000
+)
 
 // ReadRequest selects rows of one part of a table.
 type ReadRequest struct {
