intake: refuse a job that does not fit in a row of the store

Cause: a job with long labels or images, or many steps, can take more than rowBytes. The store rejects it each time, which was taken for an unknown outcome: callers repeated it for ever. Result: TestServer_RowTooLarge; go test -race of intake: passed.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,6 +48,8 @@
 	StoreUnavailable Reason = "store-unavailable"
 	// TooLarge means that no runner is large enough for one of the job's tasks.
 	TooLarge Reason = "too-large"
+	// RowTooLarge means that the job does not fit in a row of the store.
+	RowTooLarge Reason = "row-too-large"
 	// NoConfiguration means that this entry has not read a configuration yet.
 	NoConfiguration Reason = "no-configuration"
 	// StaleSettings means that the known configuration has no queue for the path, but a newer
@@ -146,6 +148,10 @@
 		countRequest(TooLarge)
 		return &RefusedError{Reason: TooLarge, RetryAfter: tooLargeRetryAfter}
 	}
+	if s.rowTooLarge(ctx, logger, j) {
+		countRequest(RowTooLarge)
+		return &RefusedError{Reason: RowTooLarge, RetryAfter: tooLargeRetryAfter}
+	}
 	unconfirmed := false
 	for {
 		err := s.Ledger.Accept(ctx, j)
--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -8,6 +8,8 @@
 	"github.com/apex/log"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
+	"bamboowood/internal/store"
 )
 
 const (
@@ -47,15 +49,38 @@
 		"largest_cpu": largest.capacity.CPU, "largest_memory_mb": largest.capacity.MemoryMB, "largest_gpus": largest.capacity.GPUs,
 		"age_ms": time.Since(largest.fetchedAt).Milliseconds(),
 	})
-	_, accepted, err := s.Ledger.Status(ctx, j.ID)
-	if err != nil || accepted {
-		logger.WithError(err).WithField("accepted", accepted).Info("job too large for any runner; not refused as it may have been accepted before")
+	if s.mayBeAccepted(ctx, logger, j) {
 		return false
 	}
 	logger.Warn("job refused; too large for any runner")
 	return true
 }
 
+// mayBeAccepted reports whether a job that would be refused for its size may have been accepted before.
+func (s *Server) mayBeAccepted(ctx context.Context, logger log.Interface, j *job.Job) bool {
+	_, accepted, err := s.Ledger.Status(ctx, j.ID)
+	if err == nil && !accepted {
+		return false
+	}
+	logger.WithError(err).WithField("accepted", accepted).Info("job too large; not refused as it may have been accepted before")
+	return true
+}
+
+// rowTooLarge reports whether the job does not fit in a row of the store, which rejects it each time, and has
+// certainly not been accepted before. Its size varies by some bytes with the time of its acceptance.
+func (s *Server) rowTooLarge(ctx context.Context, logger log.Interface, j *job.Job) bool {
+	value, err := ledger.EncodeJob(j)
+	if err != nil || len(value) <= store.MaxRowBytes {
+		return false
+	}
+	logger = logger.WithField("bytes", len(value))
+	if s.mayBeAccepted(ctx, logger, j) {
+		return false
+	}
+	logger.Warn("job refused; too large for a row of the store")
+	return true
+}
+
 // maxCapacity returns the maximum capacity of a service's runners. When the cached value has
 // expired, one caller queries the leader while the others use the expired value.
 func (s *Server) maxCapacity(ctx context.Context, service string) cachedCapacity {
--- a/internal/intake/sizes_test.go
+++ b/internal/intake/sizes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/ledger"
 	"bamboowood/internal/store"
 )
 
@@ -53,6 +55,31 @@
 	}
 }
 
+// Guards against a job that does not fit in a row of the store: the store rejected it, which was taken for an
+// unknown outcome, and its caller repeated it for ever. One that just fits is accepted.
+func TestServer_RowTooLarge(t *testing.T) {
+	labelled := func(bytes int) *job.Job {
+		j := jobWithStep(job.Step{CPU: 1})
+		j.AcceptedAt = time.Now()
+		value, err := ledger.EncodeJob(j)
+		must.NoError(t, err)
+		j.Steps[0].Image = strings.Repeat("x", bytes-len(value)-len(`,"image":""`))
+		return j
+	}
+	for bytes, fits := range map[int]bool{store.MaxRowBytes - 20: true, store.MaxRowBytes + 20: false} {
+		s := &fakeStore{writeErrs: []error{nil}}
+		err := newServer(s, &fakeLeader{}).Submit(t.Context(), labelled(bytes))
+		var refused *RefusedError
+		test.Eq(t, !fits, errors.As(err, &refused))
+		if fits {
+			test.NoError(t, err)
+			continue
+		}
+		test.Eq(t, RowTooLarge, refused.Reason)
+		test.Eq(t, 0, s.writes)
+	}
+}
+
 // If the ledger cannot be read, the job may have been accepted before and is not refused.
 func TestServer_TooLargeUnreadableLedger(t *testing.T) {
 	s := &fakeStore{writeErrs: []error{nil}, readErr: errNoAnswer}
