--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -78,9 +78,9 @@
 	received := r.receivedEnds()
 	r.mu.Unlock()
 	began := time.Now()
-	err := r.term.Commit(r.ctx, changes)
+	outcome, err := r.term.Commit(r.ctx, changes)
 	commitSeconds.UpdateDuration(began)
-	r.changesDone(changes, err)
+	r.changesDone(changes, outcome)
 	if err != nil || pending {
 		return err
 	}
@@ -88,24 +88,53 @@
 }
 
 // changesDone passes the result of a commit to the planner.
-func (r *leadership) changesDone(changes []planner.Change, err error) {
+func (r *leadership) changesDone(changes []planner.Change, outcome ledger.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	done := map[string]bool{}
+	for _, c := range outcome.Stored {
+		done[c.Job] = true
+		r.changeStored(c)
+	}
+	for _, x := range outcome.Rejected {
+		done[x.Change.Job] = true
+		r.setAside(x)
+	}
 	for _, c := range changes {
-		if err != nil {
+		if !done[c.Job] {
 			r.planner.ChangeNotCommitted(c)
-			continue
-		}
-		age := r.planner.ChangeCommitted(r.opts.Now(), c)
-		if c.Progress.State.Terminal() {
-			countJobEnd(c.Progress.State)
-			r.jobsToCompact = append(r.jobsToCompact, c.Job)
-			jobSeconds.Update(age.Seconds())
-			r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
 		}
 	}
 }
 
+// changeStored is called with the lock held.
+func (r *leadership) changeStored(c planner.Change) {
+	age := r.planner.ChangeCommitted(r.opts.Now(), c)
+	if !c.Progress.State.Terminal() {
+		return
+	}
+	countJobEnd(c.Progress.State)
+	r.jobsToCompact = append(r.jobsToCompact, c.Job)
+	jobSeconds.Update(age.Seconds())
+	r.opts.Logger.WithFields(log.Fields{"job": c.Job, "state": string(c.Progress.State), "age_ms": age.Milliseconds()}).Info("job ended")
+}
+
+// setAside stops a job whose progress can never be stored. The ends that the rejected change holds are not
+// stored with it: they are held for a later leader, as are those that follow. It is called with the lock held.
+func (r *leadership) setAside(x ledger.Rejection) {
+	reason := "rejected"
+	if errors.Is(x.Err, ledger.ErrRowTooLarge) {
+		reason = "too-large"
+	}
+	countRejectedWrite(reason)
+	if !r.planner.SetAside(r.opts.Now(), x.Change.Job) {
+		return
+	}
+	jobsQuarantined.Inc()
+	r.opts.Logger.WithError(x.Err).WithFields(log.Fields{"job": x.Change.Job, "bytes": x.Bytes, "reason": reason}).
+		Error("job set aside; its progress cannot be stored; it stays accepted and is not run")
+}
+
 // receivedEnds returns the sequence number of the last end received from each agent. It is
 // called with the lock held.
 func (r *leadership) receivedEnds() map[*agentConn]endSequence {
@@ -138,14 +167,16 @@
 	ids := r.planner.CollectEnded(r.opts.Now())
 	stats := r.planner.Stats()
 	jobs := r.planner.Jobs()
+	setAside := r.planner.SetAsideJobs()
 	loads := r.planner.Loads(r.opts.Now())
 	fleet := r.planner.Fleet(r.opts.Now())
 	r.mu.Unlock()
+	jobsSetAside.Set(float64(setAside))
 	blamedFailures.Set(uint64(stats.BlamedFailures))
 	r.opts.Logger.WithFields(log.Fields{
 		"jobs": jobs, "starts": stats.Starts, "stops": stats.Stops, "stalls": stats.Stalls,
 		"lapses": stats.LeaseExpirations, "failures": stats.Failures, "refusals": stats.Refusals,
-		"yields": stats.Deferrals,
+		"yields": stats.Deferrals, "set_aside": setAside,
 	}).Info("planner statistics")
 	r.opts.Logger.WithFields(log.Fields{
 		"agents": fleet.Agents, "serving_agents": fleet.LatencyCriticalAgents, "cpu_of": fleet.CapacityCPU, "cpu": fleet.RequestedCPU,
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -89,6 +89,7 @@
 	}
 	termsLedTotal.Inc()
 	defer l.leadership.Store(nil)
+	defer jobsSetAside.Set(0)
 	r.run("renewals", r.renewLoop)
 	r.run("load", r.recoverState)
 	err := group.Wait()
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -18,6 +18,7 @@
 	termsLedTotal     = metrics.NewCounter("bamboowood_terms_led_total")
 	renewFailures     = metrics.NewCounter("bamboowood_term_renewals_failed_total")
 	jobsQuarantined   = metrics.NewCounter("bamboowood_jobs_set_aside_total")
+	jobsSetAside      = metrics.NewGauge("bamboowood_jobs_set_aside", nil)
 	blamedFailures    = metrics.NewCounter("bamboowood_failures_not_counted_against_runners_total")
 	endsHeld          = metrics.NewCounter("bamboowood_ends_held_total")
 	unreadableTerms   = metrics.NewCounter("bamboowood_terms_unreadable_total")
@@ -65,6 +66,10 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_refused_total{reason=%q}", reason)).Inc()
 }
 
+func countRejectedWrite(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_progress_writes_rejected_total{reason=%q}", reason)).Inc()
+}
+
 func countJobEnd(state job.State) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_jobs_ended_total{state=%q}", string(state))).Inc()
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -21,12 +21,16 @@
 	"bamboowood/platform/platformtest"
 )
 
-func newLedger(t *testing.T) (*ledger.Ledger, *platformtest.Store) {
+func newStore(t *testing.T) (store.Store, *platformtest.Store) {
 	standin := platformtest.NewStore()
 	server := httptest.NewServer(standin)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
-	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	return platform.NewStore(strings.TrimPrefix(server.URL, "http://")), standin
+}
+
+func newLedger(t *testing.T) (*ledger.Ledger, *platformtest.Store) {
+	client, standin := newStore(t)
 	return ledger.New(client, store.NewBulkReader(client, 0)), standin
 }
 
@@ -61,6 +65,15 @@
 	test.Eq(t, j, contents.Jobs[0])
 }
 
+// commit commits changes, and returns an error if one was rejected for good.
+func commit(ctx context.Context, h *ledger.HeldTerm, changes []planner.Change) error {
+	out, err := h.Commit(ctx, changes)
+	if err == nil && len(out.Stored) != len(changes) {
+		return fmt.Errorf("%d of %d changes rejected", len(out.Rejected), len(changes))
+	}
+	return err
+}
+
 // Guards against a state that contradicts the stored rows: the progress takes precedence over a
 // cancel, and the cancel over the job.
 func TestStatus(t *testing.T) {
@@ -79,7 +92,7 @@
 	check(job.Queued)
 	must.NoError(t, l.Cancel(t.Context(), testID))
 	check(job.Cancelled)
-	must.NoError(t, beginTerm(t, l, "p1").Commit(t.Context(), progressChange(testID, job.Completed)))
+	must.NoError(t, commit(t.Context(), beginTerm(t, l, "p1"), progressChange(testID, job.Completed)))
 	check(job.Completed)
 }
 
@@ -90,7 +103,7 @@
 	must.NoError(t, old.Renew(t.Context()))
 	beginTerm(t, l, "p2")
 	test.ErrorIs(t, old.Renew(t.Context()), ledger.ErrDeposed)
-	test.ErrorIs(t, old.Commit(t.Context(), progressChange(testID, job.Failed)), ledger.ErrDeposed)
+	test.ErrorIs(t, commit(t.Context(), old, progressChange(testID, job.Failed)), ledger.ErrDeposed)
 	test.ErrorIs(t, old.RemoveAgent(t.Context(), "a", 1), ledger.ErrDeposed)
 	test.ErrorIs(t, old.DeleteJobs(t.Context(), []string{testID}), ledger.ErrDeposed)
 }
@@ -146,11 +159,11 @@
 	l, standin := newLedger(t)
 	held := beginTerm(t, l, "p1")
 	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID}))
-	must.NoError(t, held.Commit(t.Context(), progressChange(testID, job.Running)))
+	must.NoError(t, commit(t.Context(), held, progressChange(testID, job.Running)))
 	standin.SetFault(platformtest.Lost)
-	must.Error(t, held.Commit(t.Context(), progressChange(testID, job.Queued)))
+	must.Error(t, commit(t.Context(), held, progressChange(testID, job.Queued)))
 	standin.SetFault(platformtest.None)
-	must.NoError(t, held.Commit(t.Context(), progressChange(testID, job.Completed)))
+	must.NoError(t, commit(t.Context(), held, progressChange(testID, job.Completed)))
 	contents, err := l.NewLoader().Run(t.Context())
 	must.NoError(t, err)
 	test.Eq(t, job.Completed, contents.Progress[testID].State)
@@ -161,9 +174,9 @@
 	l, standin := newLedger(t)
 	held := beginTerm(t, l, "p1")
 	standin.SetFault(platformtest.Busy)
-	test.ErrorIs(t, held.Commit(t.Context(), progressChange(testID, job.Running)), store.ErrRefused)
+	test.ErrorIs(t, commit(t.Context(), held, progressChange(testID, job.Running)), store.ErrRefused)
 	standin.SetFault(platformtest.None)
-	test.NoError(t, held.Commit(t.Context(), progressChange(testID, job.Running)))
+	test.NoError(t, commit(t.Context(), held, progressChange(testID, job.Running)))
 }
 
 // Jobs are submitted while the store needs twenty times its usual time for a transaction and
@@ -188,7 +201,7 @@
 	})
 	group.Go(func() error {
 		for range 4 {
-			if err := held.Commit(ctx, progressChange(testID, job.Running)); err != nil {
+			if err := commit(ctx, held, progressChange(testID, job.Running)); err != nil {
 				return err
 			}
 		}
@@ -207,7 +220,7 @@
 	l, standin := newLedger(t)
 	held := beginTerm(t, l, "p1")
 	must.NoError(t, l.Accept(t.Context(), &job.Job{ID: testID}))
-	must.NoError(t, held.Commit(t.Context(), progressChange(testID, job.Completed)))
+	must.NoError(t, commit(t.Context(), held, progressChange(testID, job.Completed)))
 	next := beginTerm(t, l, "p2")
 	test.ErrorIs(t, held.DeleteJobs(t.Context(), []string{testID}), ledger.ErrDeposed)
 	contents, err := l.NewLoader().Run(t.Context())
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -249,7 +249,7 @@
 	held := beginTerm(t, l, "p1")
 	large := &job.Job{ID: testID, Payload: strings.Repeat("x", 2_000), Steps: []job.Step{{Tasks: 1}}}
 	must.NoError(t, l.Accept(t.Context(), large))
-	must.NoError(t, held.Commit(t.Context(), progressChange(testID, job.Completed)))
+	must.NoError(t, commit(t.Context(), held, progressChange(testID, job.Completed)))
 	must.NoError(t, held.CompactJobs(t.Context(), []string{testID}))
 	must.NoError(t, l.Accept(t.Context(), large))
 	state, found, err := l.Status(t.Context(), testID)
--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -108,7 +108,7 @@
 	}
 	accept(good)
 	accept(compacted)
-	must.NoError(t, held.Commit(t.Context(), progressChange(good, job.Completed)))
+	must.NoError(t, commit(t.Context(), held, progressChange(good, job.Completed)))
 	must.NoError(t, held.CompactJobs(t.Context(), []string{compacted}))
 	odd := []string{
 		`odd`, `[]`, `{}`, `null`, `{"state":"odd"}`, `{"state":7}`, `{"state":"running","before":1e300}`, `{"state":"running","before":-1}`,
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"bamboowood/internal/planner"
 	"bamboowood/internal/store"
 )
 
@@ -173,37 +172,6 @@
 	return err
 }
 
-// MaxCommit is the maximum number of changes in a call of Commit: each needs an expected row
-// and a write, and the term one more expected row.
-const MaxCommit = (store.MaxTxEntries - 1) / 2
-
-// Commit stores changes of progress atomically. After an error other than ErrDeposed the
-// changes may be stored; the same changes, or newer ones of the same jobs, can be committed
-// again.
-func (h *HeldTerm) Commit(ctx context.Context, changes []planner.Change) error {
-	if h.unconfirmed != nil {
-		if err := h.retryUnconfirmed(ctx); err != nil {
-			return err
-		}
-	}
-	tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
-	for _, c := range changes {
-		value, err := encodeProgress(c.Progress)
-		if err != nil {
-			return fmt.Errorf("encode progress of %s: %w", c.Job, err)
-		}
-		k := mainKey(progressTable, c.Job)
-		tx.Expect = append(tx.Expect, store.Expect{Key: k, Version: h.progressVersions[c.Job]})
-		tx.Writes = append(tx.Writes, store.Write{Key: k, Value: value})
-	}
-	return h.applyProgress(ctx, tx)
-}
-
-// retryUnconfirmed repeats the transaction that got no answer.
-func (h *HeldTerm) retryUnconfirmed(ctx context.Context) error {
-	return h.applyProgress(ctx, *h.unconfirmed)
-}
-
 func (h *HeldTerm) applyProgress(ctx context.Context, tx store.Tx) error {
 	version, err := h.ledger.store.Apply(ctx, tx)
 	conflict := (*store.ConflictError)(nil)
@@ -216,7 +184,7 @@
 		return nil
 	case errors.As(err, &conflict):
 		return h.handleConflict(tx, conflict)
-	case errors.Is(err, store.ErrRefused):
+	case errors.Is(err, store.ErrRefused), errors.Is(err, store.ErrRejected):
 		return err
 	}
 	h.unconfirmed = &tx
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -134,9 +134,10 @@
 	p.stopOrphan(now, a, act)
 }
 
+// findTask returns a task and its step, nil if its occurrence is not open or its job is set aside.
 func (p *Planner) findTask(t job.Task) (*stepState, *taskState) {
 	js := p.jobs[t.Job]
-	if js == nil {
+	if js == nil || js.setAside {
 		return nil, nil
 	}
 	occ := js.open[t.Occurrence]
--- a/internal/planner/aside.go
+++ b/internal/planner/aside.go
@@ -14,10 +14,41 @@
 		return
 	}
 	delete(p.jobs, id)
+	p.withdraw(now, js, StopQuarantined)
+}
+
+// SetAside stops a job whose progress can never be stored, so that the others can proceed. Its tasks are
+// not started any more, its runs are stopped and their ends have no effect. It can still be cancelled. It
+// returns false if the job was set aside before or the planner does not have it.
+func (p *Planner) SetAside(now time.Duration, id string) bool {
+	js := p.jobs[id]
+	if js == nil || js.setAside {
+		return false
+	}
+	js.setAside = true
+	// Callers that have seen it running do not see it queued again.
+	js.started = js.started || js.liveRuns > 0
+	p.withdraw(now, js, StopSetAside)
+	return true
+}
+
+// SetAsideJobs returns the number of jobs that are set aside.
+func (p *Planner) SetAsideJobs() int {
+	n := 0
+	for _, js := range p.jobs {
+		if js.setAside {
+			n++
+		}
+	}
+	return n
+}
+
+// withdraw removes a job from all that is to be done, and stops its runs.
+func (p *Planner) withdraw(now time.Duration, js *jobState, reason StopReason) {
 	delete(p.scheduled, js)
 	delete(p.dirty, js)
 	p.waitingSteps = slices.DeleteFunc(p.waitingSteps, func(s *stepState) bool { return s.job == js })
-	p.starts = slices.DeleteFunc(p.starts, func(o Start) bool { return o.Run.Task.Job == id })
+	p.starts = slices.DeleteFunc(p.starts, func(o Start) bool { return o.Run.Task.Job == js.job.ID })
 	for _, a := range p.orderedAgents {
 		for _, r := range a.runs {
 			switch {
@@ -25,7 +56,7 @@
 			case r.planned:
 				p.removeRun(now, r)
 			default:
-				p.stopRun(r, StopQuarantined)
+				p.stopRun(r, reason)
 			}
 		}
 	}
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -152,6 +152,40 @@
 	test.Len(t, 0, f.plan().Starts)
 }
 
+// Guards against a job whose progress can never be stored and that goes on, or cannot be cancelled: its runs
+// are stopped, none is started, no end of it has an effect, and a cancel ends it.
+func TestPlanner_SetAside(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	bad, good := testJob(1, step(3), step(1, 0)), testJob(2, step(1))
+	bad.Occurrences, bad.Interval, bad.Start = 5, time.Second, f.instant().Wall
+	f.add(bad, nil, false)
+	f.add(good, nil, false)
+	starts := f.plan().Starts
+	must.Len(t, 4, starts)
+	changes := f.TakeChanges(10)
+	must.True(t, f.SetAside(f.now, bad.ID))
+	must.False(t, f.SetAside(f.now, bad.ID))
+	for _, c := range changes {
+		f.ChangeNotCommitted(c)
+	}
+	test.Eq(t, 1, f.SetAsideJobs())
+	test.False(t, f.Tracks(bad.ID))
+	test.Len(t, 3, f.plan().Stops)
+	for _, s := range starts {
+		f.end("a", s.Run, job.EndDone)
+	}
+	f.now += 5 * time.Second
+	test.Len(t, 0, f.plan().Starts)
+	test.Zero(t, f.agents["a"].requested.CPU)
+	test.MapNotContainsKey(t, f.commit(), bad.ID)
+	test.Eq(t, job.Running, f.state(bad))
+	must.True(t, f.Cancel(f.now, bad.ID))
+	f.commit()
+	test.Eq(t, job.Cancelled, f.state(bad))
+	test.Zero(t, f.SetAsideJobs())
+}
+
 // Guards against progress that grows with failures that do not matter any more: those of done tasks, and all but
 // the last where attempts are not limited.
 func TestPlanner_ProgressKeepsNoObsoleteFailures(t *testing.T) {
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -23,7 +23,7 @@
 // scheduleRetry makes a task wait for a runner again, at least for a delay, unless it is
 // done.
 func (p *Planner) scheduleRetry(now time.Duration, s *stepState, t *taskState, delay time.Duration) {
-	if t.done || s.job.state.Terminal() || t.liveRun != nil {
+	if t.done || s.job.state.Terminal() || s.job.setAside || t.liveRun != nil {
 		return
 	}
 	t.notBefore = now + delay
--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -15,7 +15,7 @@
 // That leader kept it, but may have received ends of earlier occurrences that it did not store.
 func (p *Planner) openReported(now time.Duration, t job.Task) {
 	js := p.jobs[t.Job]
-	if js == nil || js.state.Terminal() || !js.job.HasTask(t) {
+	if js == nil || js.state.Terminal() || js.setAside || !js.job.HasTask(t) {
 		return
 	}
 	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
--- a/internal/planner/orphan.go
+++ b/internal/planner/orphan.go
@@ -39,6 +39,8 @@
 		return StopJobUnknown
 	case js.state.Terminal():
 		return StopJobEnded
+	case js.setAside:
+		return StopSetAside
 	case t != nil && !t.done:
 		return StopOtherRun
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -53,6 +53,8 @@
 	StopThrottled StopReason = "throttled"
 	// StopQuarantined: the run's job was quarantined.
 	StopQuarantined StopReason = "job-quarantined"
+	// StopSetAside: the store rejects the progress of the run's job for good.
+	StopSetAside StopReason = "job-set-aside"
 )
 
 // Orders are the result of a plan.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -150,6 +150,8 @@
 	// tasks is kept working while the fleet is mostly idle.
 	starved bool
 	endedAt time.Duration
+	// setAside is set once the job's progress can never be stored, until the job is cancelled.
+	setAside bool
 }
 
 // occurrence is one execution of a job's steps.
@@ -213,9 +215,12 @@
 // HasJob reports whether the planner has the job or has quarantined it.
 func (p *Planner) HasJob(id string) bool { return p.jobs[id] != nil || p.quarantined[id] }
 
-// Tracks reports whether the planner has the job and has not quarantined it: only then do changes hold the
-// ends of its runs.
-func (p *Planner) Tracks(id string) bool { return p.jobs[id] != nil }
+// Tracks reports whether the planner has the job and has neither quarantined it nor set it aside: only then do
+// changes hold the ends of its runs.
+func (p *Planner) Tracks(id string) bool {
+	js := p.jobs[id]
+	return js != nil && !js.setAside
+}
 
 // AddJob adds an accepted job. progress is nil if the ledger has no progress of the
 // job. recovered means that an earlier planner may have started it. A job that was
@@ -312,6 +317,7 @@
 func (p *Planner) finishJob(now time.Duration, js *jobState, state job.State) {
 	js.state = state
 	js.endedAt = now
+	js.setAside = false
 	delete(p.scheduled, js)
 	p.interference.ForgetJob(js.job.ID)
 	p.ended = append(p.ended, js)
--- a/internal/planner/progress.go
+++ b/internal/planner/progress.go
@@ -201,7 +201,7 @@
 
 // ChangeNotCommitted records that a change was not stored; its job is dirty again.
 func (p *Planner) ChangeNotCommitted(c Change) {
-	if js := p.jobs[c.Job]; js != nil {
+	if js := p.jobs[c.Job]; js != nil && (!js.setAside || js.state.Terminal()) {
 		p.dirty[js] = struct{}{}
 	}
 }
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -39,7 +39,7 @@
 // record updates the outage state from the result of a call and the time at which it started.
 func (m *Monitor) record(start time.Time, err error) {
 	conflict := (*ConflictError)(nil)
-	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrCompacted) ||
+	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrRefused) || errors.Is(err, ErrRejected) || errors.Is(err, ErrCompacted) ||
 		errors.Is(err, ErrTooLarge)
 	if errors.Is(err, context.Canceled) {
 		// The caller cancelled the call, so it does not show whether the store answers.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,8 @@
 var (
 	// ErrRefused means that the call had no effect (outage, rate limit).
 	ErrRefused = errors.New("store refused the call")
+	// ErrRejected means that the call is invalid: it had no effect, and will have none if it is repeated.
+	ErrRejected = errors.New("store rejected the call as invalid")
 	// ErrCompacted means that the history that a Feed requested has been compacted. The caller
 	// must read the whole table.
 	ErrCompacted = errors.New("requested history of the store has been compacted")
