planner: a step that succeeds is not blamed for all its failures

Cause: a wide step of which each task fails now and then fails on all runners in the end, and was blamed; its failures no longer counted against a runner that fails all tasks. Found by reading. Change: a success on a runner takes back the step's failure there.

--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -104,6 +104,7 @@
 	switch {
 	case e.Reason == job.EndDone:
 		a.health.recordSuccess(s.job.job.ID)
+		s.trials.recordSuccess(a)
 	case e.Reason == job.EndFailed, r != nil && r.stalled:
 		p.recordFailure(now, a, s)
 	}
--- a/internal/planner/trials.go
+++ b/internal/planner/trials.go
@@ -27,8 +27,10 @@
 type trials struct {
 	// startedOn is the number of runners on which a task of the step was started.
 	startedOn int
-	failedOn  map[*agent]struct{}
-	// cleared counts the runners on which a task failed and one of another job succeeded afterwards.
+	// failedOn are those on which one failed and none has succeeded since.
+	failedOn map[*agent]struct{}
+	// cleared counts the runners on which a task failed and one of another job succeeded afterwards, since
+	// the last success of the step.
 	cleared int
 }
 
@@ -46,6 +48,14 @@
 	t.failedOn[a] = struct{}{}
 }
 
+// recordSuccess records that a task of the step succeeded on the agent's runner: its failures there were not
+// those of a step that cannot be done. A wide step of which each task fails now and then would fail on all
+// runners otherwise.
+func (t *trials) recordSuccess(a *agent) {
+	delete(t.failedOn, a)
+	t.cleared = 0
+}
+
 // recordFailure records that a task of the step failed or stalled on the agent's runner. Once that shows
 // that the job is to blame, its failures neither eject a runner nor prolong an ejection. An ejection that
 // its first failures have caused is not lifted: while many runners fail all tasks, a small job of which
--- a/internal/planner/trials_test.go
+++ b/internal/planner/trials_test.go
@@ -156,6 +156,35 @@
 	})
 }
 
+// Guards against wide sound jobs that are blamed because some of their tasks fail on each runner: two of them
+// would no longer eject a runner that fails all tasks.
+func TestPlanner_WideJobsThatFailSometimes(t *testing.T) {
+	f := newFixture(t, 1)
+	for n := range 6 {
+		f.agent(fmt.Sprint("a", n))
+	}
+	for n := range 2 {
+		j := testJob(n, step(500))
+		j.Steps[0].CPU, j.Steps[0].MemoryMB, j.Queue.MaxAttempts = 500, 100, 20
+		f.add(j, nil, false)
+	}
+	for i := range 40 {
+		for k, s := range f.plan().Starts {
+			reason := job.EndDone
+			if k%10 == i%10 {
+				reason = job.EndFailed
+			}
+			f.end(s.Agent, s.Run, reason)
+		}
+		f.now += 100 * time.Millisecond
+		for _, js := range f.jobs {
+			if occ := js.open[0]; occ != nil {
+				test.False(t, occ.steps[0].trials.blameJob())
+			}
+		}
+	}
+}
+
 // previousRule is the rule of ejection before jobs were judged, for comparison.
 type previousRule struct {
 	jobs         map[string]*trials
