--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -147,9 +147,10 @@
 	return t.liveRun == nil || s.step.Speculative && !s.step.Gang && t.copyRun == nil && t.liveRun.agent != a
 }
 
+// findTask returns a task and its step, nil if its occurrence is not open or its job is set aside.
 func (p *Planner) findTask(t job.Task) (*stepState, *taskState) {
 	js := p.jobs[t.Job]
-	if js == nil {
+	if js == nil || js.setAside {
 		return nil, nil
 	}
 	occ := js.open[t.Occurrence]
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -51,8 +51,18 @@
 	probationWeight = 2
 )
 
-// pickAgent returns the agent with the lowest cost for a task, nil if none is eligible.
+// pickAgent returns the agent with the lowest cost for a task, nil if none is eligible. An ejected
+// runner is used if no other may run the step.
 func (p *Planner) pickAgent(now time.Duration, s *stepState, t *taskState, opts pickOptions) *agent {
+	a := p.pickEligible(now, s, t, opts)
+	if a == nil && opts.excludeEjected && !t.pausesForEjected(now, s) && p.mayUseEjected(now, s) {
+		opts.excludeEjected = false
+		a = p.pickEligible(now, s, t, opts)
+	}
+	return a
+}
+
+func (p *Planner) pickEligible(now time.Duration, s *stepState, t *taskState, opts pickOptions) *agent {
 	var best *agent
 	bestCost := 0.0
 	rack := ""
@@ -94,14 +104,18 @@
 }
 
 func (p *Planner) eligible(now time.Duration, a *agent, s *stepState, opts pickOptions) bool {
+	return p.permitted(a, s) && now >= a.health.backoffUntil && !(opts.excludeEjected && a.health.ejected(now)) &&
+		a.fits(s.step, opts.overcommit)
+}
+
+// permitted reports whether the rules allow another task of the step on the agent's runner.
+func (p *Planner) permitted(a *agent, s *stepState) bool {
 	switch {
 	case !p.usable(a, s),
-		now < a.health.backoffUntil,
-		opts.excludeEjected && a.health.ejected(now),
 		s.step.MaxPerRunner > 0 && s.runsOnAgent[a] >= s.step.MaxPerRunner:
 		return false
 	}
-	return a.fits(s.step, opts.overcommit)
+	return true
 }
 
 // fits reports whether a task of the step fits into the runner's free capacity.
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -43,7 +43,7 @@
 	known := map[*stepState]speculation.Task{}
 	late, budget := p.copyCandidates()
 	for _, r := range late {
-		if p.startBudgetSpent() {
+		if p.startBudget.spent() {
 			return
 		}
 		p.currentJob = r.step.job.job.ID
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -23,7 +23,7 @@
 // scheduleRetry makes a task wait for a runner again, at least for a delay, unless it is
 // done.
 func (p *Planner) scheduleRetry(now time.Duration, s *stepState, t *taskState, delay time.Duration) {
-	if t.done || s.job.state.Terminal() || t.liveRun != nil {
+	if t.done || s.job.state.Terminal() || s.job.setAside || t.liveRun != nil {
 		return
 	}
 	t.notBefore = now + delay
@@ -134,9 +134,15 @@
 	if s.step.Continuous {
 		return
 	}
+	if s.job.job.Queue.MaxAttempts <= 0 {
+		// Only the next run number depends on the failures: the list must not grow without bound.
+		t.failedRuns = append(t.failedRuns[:0], slices.Max(append(t.failedRuns, number)))
+		p.dirty[s.job] = struct{}{}
+		return
+	}
 	t.failedRuns = append(t.failedRuns, number)
 	p.dirty[s.job] = struct{}{}
-	if s.job.job.Queue.MaxAttempts > 0 && len(t.failedRuns) >= s.job.job.Queue.MaxAttempts {
+	if len(t.failedRuns) >= s.job.job.Queue.MaxAttempts {
 		p.finishJob(now, s.job, job.Failed)
 	}
 }
--- a/internal/planner/fairorder_test.go
+++ b/internal/planner/fairorder_test.go
@@ -10,8 +10,8 @@
 	"bamboowood/internal/job"
 )
 
-// wideJob returns a best-effort job of one step with a number of tasks that take 2 s each.
-func wideJob(n, tasks int) *job.Job {
+// bestEffortJob returns a best-effort job of one step with a number of tasks that take 2 s each.
+func bestEffortJob(n, tasks int) *job.Job {
 	s := bestEffortStep("fill")
 	s.Tasks, s.CPU, s.Estimate = tasks, 4_000, 2*time.Second
 	j := testJob(n, s)
@@ -24,8 +24,8 @@
 func TestPattern_NarrowJobBesideWideOne(t *testing.T) {
 	f := newFixture(t, 1)
 	f.agent("a")
-	f.add(wideJob(1, 5), nil, false)
-	f.add(wideJob(2, 1), nil, false)
+	f.add(bestEffortJob(1, 5), nil, false)
+	f.add(bestEffortJob(2, 1), nil, false)
 	orders := f.plan()
 	must.Len(t, 0, orders.Deferrals, must.Sprint("all jobs can meet their objective"))
 	starts := orders.Starts
@@ -38,11 +38,11 @@
 func TestPattern_WideJobIsNotOvertakenForever(t *testing.T) {
 	f := newFixture(t, 1)
 	f.agent("a")
-	wide := wideJob(1, 5)
+	wide := bestEffortJob(1, 5)
 	f.add(wide, nil, false)
 	f.now += f.jobs[wide.ID].durations.objective/3 + time.Millisecond
 	f.jobs[wide.ID].idleSince = f.now // the job does not count as starved
-	f.add(wideJob(2, 1), nil, false)
+	f.add(bestEffortJob(2, 1), nil, false)
 	starts := f.plan().Starts
 	must.SliceNotEmpty(t, starts)
 	test.Eq(t, wide.ID, starts[0].Run.Task.Job)
--- a/internal/planner/occurrence.go
+++ b/internal/planner/occurrence.go
@@ -15,7 +15,7 @@
 // That leader kept it, but may have received ends of earlier occurrences that it did not store.
 func (p *Planner) openReported(now time.Duration, t job.Task) {
 	js := p.jobs[t.Job]
-	if js == nil || js.state.Terminal() || !js.job.HasTask(t) {
+	if js == nil || js.state.Terminal() || js.setAside || !js.job.HasTask(t) {
 		return
 	}
 	wall := p.lastInstant.Wall.Add(now - p.lastInstant.Mono)
@@ -58,7 +58,7 @@
 		step := &js.job.Steps[i]
 		occ.steps[i] = stepState{
 			job: js, occ: occ, index: i, step: step, tasks: make([]taskState, step.Tasks),
-			runsOnAgent: map[*agent]int{},
+			runsOnAgent: map[*agent]int{}, trials: &trials{},
 		}
 		if js.job.Queue.Advice != nil {
 			occ.steps[i].advice = newAdvice()
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -56,6 +56,8 @@
 	StopThrottled StopReason = "throttled"
 	// StopQuarantined: the run's job was quarantined.
 	StopQuarantined StopReason = "job-quarantined"
+	// StopSetAside: the store rejects the progress of the run's job for good.
+	StopSetAside StopReason = "job-set-aside"
 )
 
 // Orders are the result of a plan.
@@ -152,6 +154,8 @@
 	// order is the key among candidates of the same rank and priority: the slack, or the fair end of
 	// a best-effort step, which come after the others.
 	order time.Duration
+	// started is set for a starved job once one of its tasks has been started in this plan.
+	started bool
 }
 
 func (p *Planner) rankStep(now time.Duration, s *stepState) candidate {
@@ -230,30 +234,9 @@
 	p.deferOccurrences(now, candidates)
 	p.setFairOrder(candidates)
 	slices.SortStableFunc(candidates, candidate.compare)
-	excludeEjected := p.ejectionAllowed(now)
+	excludeEjected := p.excludesEjected(now)
 	p.refreshReservations(now, candidates)
-	for i, c := range candidates {
-		if p.startBudgetSpent() {
-			break
-		}
-		p.currentJob = c.step.job.job.ID
-		if c.step.step.BestEffort && now < c.step.retryAt && c.rank != rankStarved {
-			continue
-		}
-		if c.step.advice != nil {
-			p.requestAdvice(now, c.step, excludeEjected)
-		}
-		p.placing(now, i, c)
-		switch {
-		case c.step.step.Gang:
-			p.starts = p.startGang(now, c.step, excludeEjected, p.starts)
-		case c.rank == rankStarved && c.step.job.workingRuns == 0:
-			p.starts = p.startTasks(now, c.step, pickOptions{excludeEjected: excludeEjected, overcommit: true, maxStarts: 1}, p.starts)
-		default:
-			p.starts = p.startTasks(now, c.step, pickOptions{excludeEjected: excludeEjected}, p.starts)
-		}
-	}
-	p.currentJob = ""
+	p.startCandidates(now, candidates, excludeEjected)
 	p.placingEnds()
 	p.reserve(now)
 	p.planCopies(now, excludeEjected)
@@ -268,9 +251,6 @@
 	return c.rank == rankInTime && !c.step.step.Continuous && c.step.waitingTasks > 0 && now-c.step.occ.due < newJobAge
 }
 
-// startBudgetSpent reports whether no further start may be ordered in this plan.
-func (p *Planner) startBudgetSpent() bool { return p.startBudgetBounded && p.startBudget <= 0 }
-
 // isMostlyIdle reports whether the requested share of the fleet's CPU is below
 // mostlyIdleShare. Best-effort tasks are not counted.
 func (p *Planner) isMostlyIdle() bool {
@@ -295,7 +275,7 @@
 		if !t.waiting || now < t.notBefore {
 			continue
 		}
-		if opts.maxStarts > 0 && len(starts)-startsBefore == opts.maxStarts || p.startBudgetSpent() {
+		if opts.maxStarts > 0 && len(starts)-startsBefore == opts.maxStarts || p.startBudget.spent() {
 			return starts
 		}
 		a := p.pickAgent(now, s, t, opts)
@@ -320,7 +300,7 @@
 		return starts
 	}
 	number := max(s.gangRunNumber+1, p.firstRunNumber())
-	startsBefore := len(starts)
+	startsBefore, bytesBefore, idleSince := len(starts), p.startBudget.bytes, s.job.idleSince
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		a := p.pickAgent(now, s, t, pickOptions{excludeEjected: excludeEjected})
@@ -333,6 +313,7 @@
 				p.removeRun(now, r)
 				s.setWaiting(r.task, true)
 			}
+			p.startBudget.bytes, s.job.idleSince = bytesBefore, idleSince
 			return starts[:startsBefore]
 		}
 		starts = append(starts, p.startRun(now, a, s, i, number, s.gangCheckpoint))
@@ -355,7 +336,7 @@
 	if speed := a.initialSpeed(now, s); speed != fullSpeed {
 		r.setSpeedLimit(now, speed)
 	}
-	p.startBudget -= int64(len(s.job.job.Payload))
+	p.startBudget.bytes -= int64(len(s.job.job.Payload))
 	o := Start{
 		Agent: a.id, Run: id, Step: s.step, Payload: s.job.job.Payload, Checkpoint: checkpoint, Speed: r.speedLimit,
 		RunnerID: a.runner.ID, StartTime: a.runner.StartTime,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -98,10 +98,7 @@
 	// waited for capacity after the last plan.
 	starvationLimit            time.Duration
 	mostlyIdle, newJobsWaiting bool
-	// startBudget is the number of payload bytes that starts of this plan may still use;
-	// it applies if startBudgetBounded is set.
-	startBudget        int64
-	startBudgetBounded bool
+	startBudget                startBudget
 	// starts are the starts of the current plan so far. They are kept if the plan panics,
 	// because their runs are already accounted for, and returned by the next plan.
 	starts []Start
@@ -116,6 +113,8 @@
 // Stats count decisions since the planner was created.
 type Stats struct {
 	Starts, Stops, Stalls, LeaseExpirations, Failures, Refusals, Deferrals int64
+	// BlamedFailures counts the failures that were a job's own fault and were not counted against a runner.
+	BlamedFailures int64
 }
 
 // New returns a planner without jobs and agents.
@@ -169,6 +168,8 @@
 	endedAt time.Duration
 	// unsettled are runs of done tasks that may still start. The progress is not stored meanwhile.
 	unsettled []*run
+	// setAside is set once the job's progress can never be stored, until the job is cancelled.
+	setAside bool
 }
 
 // occurrence is one execution of a job's steps.
@@ -201,6 +202,7 @@
 	advice *advice
 	// runsOnAgent counts live runs by agent, for MaxPerRunner.
 	runsOnAgent map[*agent]int
+	trials      *trials
 	// gangRunNumber is the last run number of a gang. Its members share the number and
 	// the checkpoint.
 	gangRunNumber  int64
@@ -232,19 +234,15 @@
 // SetSite sets the operator settings, such as drained zones.
 func (p *Planner) SetSite(s *site.State) { p.site = s }
 
-// SetStartBudget limits the payload bytes of the starts that following calls of Plan return
-// to what the link carries, in sum over these calls; a call with bounded false removes the
-// limit. The budget goes to the most urgent starts. The last start may exceed it.
-func (p *Planner) SetStartBudget(bytes int64, bounded bool) {
-	p.startBudget, p.startBudgetBounded = bytes, bounded
-}
-
 // HasJob reports whether the planner has the job or has quarantined it.
 func (p *Planner) HasJob(id string) bool { return p.jobs[id] != nil || p.quarantined[id] }
 
-// Tracks reports whether the planner has the job and has not quarantined it: only then do changes hold the
-// ends of its runs.
-func (p *Planner) Tracks(id string) bool { return p.jobs[id] != nil }
+// Tracks reports whether the planner has the job and has neither quarantined it nor set it aside: only then do
+// changes hold the ends of its runs.
+func (p *Planner) Tracks(id string) bool {
+	js := p.jobs[id]
+	return js != nil && !js.setAside
+}
 
 // AddJob adds an accepted job. progress is nil if the ledger has no progress of the
 // job. recovered means that an earlier planner may have started it. A job that was
@@ -341,6 +339,7 @@
 func (p *Planner) finishJob(now time.Duration, js *jobState, state job.State) {
 	js.state = state
 	js.endedAt = now
+	js.setAside = false
 	delete(p.scheduled, js)
 	p.interference.ForgetJob(js.job.ID)
 	p.ended = append(p.ended, js)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,8 @@
 var (
 	// ErrRefused means that the call had no effect (outage, rate limit).
 	ErrRefused = errors.New("store refused the call")
+	// ErrRejected means that the call is invalid: it had no effect, and will have none if it is repeated.
+	ErrRejected = errors.New("store rejected the call as invalid")
 	// ErrCompacted means that the history that a Feed requested has been compacted. The caller
 	// must read the whole table.
 	ErrCompacted = errors.New("requested history of the store has been compacted")
@@ -74,8 +76,16 @@
 	Remove []Key
 }
 
-// MaxTxEntries is the platform's limit of entries in a Tx: Expect, Writes and Remove together.
-const MaxTxEntries = 100
+// Limits of the platform.
+const (
+	// MaxTxEntries bounds the entries in a Tx: Expect, Writes and Remove together.
+	MaxTxEntries = 100
+	// MaxRowBytes bounds the value of a row.
+	MaxRowBytes = 65_536
+	// MaxTxValueBytes bounds the values of a Tx together. The platform allows for 1 MB in one call, in which
+	// values take four thirds of their size and each entry up to some hundred bytes.
+	MaxTxValueBytes = 600_000
+)
 
 // ReadRequest selects rows of one part of a table.
 type ReadRequest struct {
