planner, intake: comments of the fair order and of outages

Cause: read as a newcomer, one comment stood apart from what it describes, another told a story. Change: wording only. Measured: tests of both packages pass.

--- a/internal/intake/outage.go
+++ b/internal/intake/outage.go
@@ -14,10 +14,9 @@
 	outageGap = 5 * time.Second
 )
 
-// outage tracks how long the store has turned submissions away. An outage that has lasted for some time is
-// expected to last about as long again. A caller that were always told to return after a second would use up
-// its few retries within an outage of some seconds; with the expected rest they reach four times as far, and
-// callers return in the order in which they were refused.
+// outage tracks for how long the store has turned submissions away. An outage is expected to last about as long
+// again as it has lasted. With a constant delay of one second, callers use up their few retries within an outage
+// of some seconds. They return in the order in which they were refused.
 type outage struct {
 	mu sync.Mutex
 	// began is when the current outage began, refusedAt when a submission was refused last.
--- a/internal/planner/fairorder.go
+++ b/internal/planner/fairorder.go
@@ -2,14 +2,8 @@
 
 import "time"
 
-// Order of best-effort steps. They compete for CPU that comes and goes, so the least slack is a poor
-// order for them: it postpones every job until it is nearly late, and an estimate that is too long
-// postpones it further. Instead, jobs are served one after another, in the order in which they would
-// end if all of them shared the CPU equally, as in fair queueing. Narrow jobs are served soon, and a wide
-// one is put back by at most fairDelayShare of its objective, so that it can still meet it.
-
 // fairDelayShare is the greatest share of its objective by which a job is put back for its size. With
-// half or all of the objective, the widest jobs miss it most often once more is asked for than can be done.
+// half or all of it, the widest jobs miss their objective most often in an overload.
 const fairDelayShare = 1.0 / 3
 
 // fairQueue is the best-effort work of a service that can still meet its objectives.
@@ -29,7 +23,10 @@
 	return time.Duration(work / share * float64(time.Second))
 }
 
-// setFairOrder sets the order of the best-effort candidates that can meet their objective.
+// setFairOrder sets the order of the best-effort candidates that can meet their objective: that in which their
+// jobs would end if all of them shared the CPU equally, as in fair queueing. Narrow jobs are served soon, and a
+// wide one is put back by at most fairDelayShare of its objective. The slack would postpone each job until it is
+// nearly late, and one with too long an estimate beyond that.
 func (p *Planner) setFairOrder(candidates []candidate) {
 	queues := map[string]*fairQueue{}
 	for _, c := range candidates {
