--- a/internal/leader/inputs.go
+++ b/internal/leader/inputs.go
@@ -40,6 +40,16 @@
 	return known && now-age >= began-settingsAgeAtBegin
 }
 
+// readSettings passes the operator settings to the planner. It is called with the lock held.
+func (r *leadership) readSettings() {
+	if r.opts.SettingsAge != nil {
+		// The age is read before the settings: newer settings may take their place in between.
+		age, known := r.opts.SettingsAge()
+		r.settingsRead = settingsRead(r.opts.Now(), r.began, age, known)
+	}
+	r.planner.SetSite(r.opts.Site())
+}
+
 // heldInputs records since when inputs are missing.
 type heldInputs struct {
 	since    map[planInput]time.Duration
@@ -82,10 +92,7 @@
 		inputRenewal: now >= r.renewedAt+startValidity,
 		inputAgents:  r.planner.UnreportedAgents() > 0,
 	}
-	if r.opts.SettingsAge != nil {
-		age, known := r.opts.SettingsAge()
-		missing[inputSettings] = !settingsRead(r.opts.Now(), r.began, age, known)
-	}
+	missing[inputSettings] = r.opts.SettingsAge != nil && !r.settingsRead
 	for _, input := range planInputs {
 		held, report := r.held.update(now, input, missing[input])
 		inputMissing(input).Set(held.Seconds())
--- a/internal/leader/inputs_test.go
+++ b/internal/leader/inputs_test.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// Guards against settings that are replaced between the reading of them and of their age: those of before the first
+// read, which are empty, counted as read, and a task was started in a drained zone.
+func TestLeader_SettingsReadDuringPlan(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	var begin, read atomic.Bool
+	runLeaderWith(t, jobLedger, func(o *Options) {
+		o.SettingsAge = func() (time.Duration, bool) { return 0, read.Load() }
+		state := o.Site
+		o.Site = func() *site.State {
+			// The first read of the table ends right after this one.
+			defer func() { read.Store(begin.Load()) }()
+			if read.Load() {
+				return &site.State{Config: state().Config, Drained: map[string]bool{"z1": true}}
+			}
+			return &site.State{}
+		}
+	})
+	a.await(t, hasGrant)
+	time.Sleep(4 * planInterval)
+	begin.Store(true)
+	time.Sleep(4 * planInterval)
+	test.Zero(t, a.count(hasStarts))
+}
+
 // Guards against a log line in each plan, and against a held plan whose end is not logged.
 func TestHeldInputs(t *testing.T) {
 	h := newHeldInputs()
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -40,7 +40,7 @@
 		r.renewedAt = min(r.renewedAt, now-startValidity)
 		signal(r.wakeRenew)
 	}
-	r.planner.SetSite(r.opts.Site())
+	r.readSettings()
 	began := time.Now()
 	r.planner.SetStartBudget(r.budget.remaining(now))
 	orders, err := r.planOnce(now)
