--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -4,6 +4,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +56,9 @@
 	Address, Process string
 	// Site returns the operators' current settings.
 	Site func() *site.State
+	// EvacuationDeadline is the time after the confirmation of an evacuation from which on nothing may start in
+	// the zone; 0 means 5 s. No plan is based on older settings.
+	EvacuationDeadline time.Duration
 	// SettingsAge returns an upper bound of the time since they were the store's latest; known is false before
 	// they have been read. If it is nil, they count as read.
 	SettingsAge func() (age time.Duration, known bool)
@@ -98,6 +102,7 @@
 
 // New returns a Leader, which does nothing until Run is called.
 func New(opts Options) *Leader {
+	opts.EvacuationDeadline = cmp.Or(opts.EvacuationDeadline, defaultEvacuationDeadline)
 	l := &Leader{opts: opts}
 	l.term.Store(&ledger.Term{})
 	return l
--- a/internal/leader/inputs.go
+++ b/internal/leader/inputs.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,14 +11,15 @@
 	"github.com/apex/log"
 )
 
-// planInput names something that must be known before a plan may start tasks. Stops, throttles and leases do
-// not depend on it. The ledger's jobs and registrations are read before the first plan.
+// planInput names something that must be known, and recent, before a plan may start tasks. Stops, throttles and
+// leases do not depend on it. The ledger's jobs and registrations are read before the first plan.
 type planInput string
 
 const (
 	// inputRenewal is a recent renewal of the term.
 	inputRenewal planInput = "term-renewal"
-	// inputSettings are the drained zones and the configuration.
+	// inputSettings are the drained zones and the configuration, which must not be older than an evacuation may
+	// take to be in force.
 	inputSettings planInput = "operator-settings"
 	// inputAgents are the runs of earlier leaders. Only tasks that may have one are held back.
 	inputAgents planInput = "agents"
@@ -25,31 +28,49 @@
 var planInputs = [...]planInput{inputRenewal, inputSettings, inputAgents}
 
 const (
-	// settingsAgeAtBegin is by how much settings may be older than the term: an entry that has lost the store
-	// for longer may lack a drained zone, and lead as soon as it reaches the store again. Operator settings
-	// apply within 5 s (RULES, EVAC), and an order to start is valid for startValidity after it.
-	settingsAgeAtBegin = 3 * time.Second
+	// orderTime is how long after the expiry of an order its call may reach the runner: an agent gives a call
+	// that long.
+	orderTime = 400 * time.Millisecond
+	// defaultEvacuationDeadline is the default of Options.EvacuationDeadline (RULES, EVAC).
+	defaultEvacuationDeadline = 5 * time.Second
 	// maxAwaitedLogged bounds the agents named in a log line.
 	maxAwaitedLogged = 8
 	// heldLogInterval is the least time between two log lines about one input.
 	heldLogInterval = time.Second
 )
 
-// settingsRead reports whether operator settings of a given age are recent enough for a term that began at a time.
-func settingsRead(now, began, age time.Duration, known bool) bool {
-	return known && now-age >= began-settingsAgeAtBegin
-}
-
 // readSettings passes the operator settings to the planner. It is called with the lock held.
 func (r *leadership) readSettings() {
 	if r.opts.SettingsAge != nil {
 		// The age is read before the settings: newer settings may take their place in between.
+		now := r.opts.Now()
 		age, known := r.opts.SettingsAge()
-		r.settingsRead = settingsRead(r.opts.Now(), r.began, age, known)
+		r.settingsAt, r.settingsKnown = now-age, known
 	}
 	r.planner.SetSite(r.opts.Site())
 }
 
+// validUntil returns until when each input of a plan is recent enough for a start: a change of it may have
+// been confirmed at any time since it was last known to be current. Inputs that are not known are missing. It is
+// called with the lock held.
+func (r *leadership) validUntil() map[planInput]time.Duration {
+	until := map[planInput]time.Duration{inputRenewal: r.renewedAt + startValidity}
+	if r.opts.SettingsAge == nil {
+		return until
+	}
+	until[inputSettings] = 0
+	if r.settingsKnown {
+		until[inputSettings] = r.settingsAt + r.opts.EvacuationDeadline - orderTime
+	}
+	return until
+}
+
+// startsValidUntil returns until when agents may carry out starts that are planned now. It is called with the lock
+// held.
+func (r *leadership) startsValidUntil() time.Duration {
+	return slices.Min(slices.Collect(maps.Values(r.validUntil())))
+}
+
 // heldInputs records since when inputs are missing.
 type heldInputs struct {
 	since    map[planInput]time.Duration
@@ -88,11 +109,10 @@
 
 // mayStart reports whether a plan may start tasks now. It is called with the lock held.
 func (r *leadership) mayStart(now time.Duration) bool {
-	missing := map[planInput]bool{
-		inputRenewal: now >= r.renewedAt+startValidity,
-		inputAgents:  r.planner.UnreportedAgents() > 0,
+	missing := map[planInput]bool{inputAgents: r.planner.UnreportedAgents() > 0}
+	for input, until := range r.validUntil() {
+		missing[input] = now >= until
 	}
-	missing[inputSettings] = r.opts.SettingsAge != nil && !r.settingsRead
 	for _, input := range planInputs {
 		held, report := r.held.update(now, input, missing[input])
 		inputMissing(input).Set(held.Seconds())
@@ -114,6 +134,9 @@
 		entry.Info("starts are not held back any more")
 		return
 	}
+	if input == inputSettings && r.settingsKnown {
+		entry = entry.WithField("age_ms", (r.opts.Now() - r.settingsAt).Milliseconds())
+	}
 	if input == inputAgents {
 		awaited := r.planner.AwaitedAgents()
 		entry = entry.WithField("unknown_agents", len(awaited)).
--- a/internal/leader/inputs_test.go
+++ b/internal/leader/inputs_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -8,8 +9,10 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"bamboowood/internal/boottime"
 	"bamboowood/internal/job"
 	"bamboowood/internal/site"
+	"bamboowood/internal/wire/wirepb"
 )
 
 // Guards against a leader that plans before it has read the drained zones (review/7): it started tasks in a
@@ -43,8 +46,8 @@
 	test.Zero(t, a.count(hasStarts), test.Sprint("the zone is drained"))
 }
 
-// Guards against settings that count as read although they were read before the process lost the store, and
-// against a leader that never starts anything.
+// Guards against settings that count as read although they were read before the process lost the store, or have
+// not been read again since the term began, and against a leader that never starts anything.
 func TestSettingsRead(t *testing.T) {
 	const began = time.Hour
 	for name, c := range map[string]struct {
@@ -52,16 +55,55 @@
 		known    bool
 		want     bool
 	}{
-		"never":                {began, 0, false, false},
-		"just before the term": {began, time.Second, true, true},
-		"long before the term": {began, time.Minute, true, false},
-		"within the term":      {began + time.Hour, time.Second, true, true},
-		"read once in it":      {began + time.Hour, time.Hour, true, true},
+		"never":                  {began, 0, false, false},
+		"just before the term":   {began, time.Second, true, true},
+		"long before the term":   {began, time.Minute, true, false},
+		"within the term":        {began + time.Hour, time.Second, true, true},
+		"read once in it":        {began + time.Hour, time.Hour, true, false},
+		"not since the deadline": {began + time.Hour, defaultEvacuationDeadline, true, false},
+		"too old for an order":   {began + time.Hour, defaultEvacuationDeadline - orderTime, true, false},
 	} {
-		test.Eq(t, c.want, settingsRead(c.now, began, c.age, c.known), test.Sprint(name))
+		r := newPartialFixture(t).leadership
+		r.opts.SettingsAge = func() (time.Duration, bool) { return c.age, c.known }
+		r.opts.Site = func() *site.State { return &site.State{} }
+		r.opts.Now = func() time.Duration { return c.now }
+		r.began, r.renewedAt = began, c.now
+		r.readSettings()
+		test.Eq(t, c.want, r.mayStart(c.now), test.Sprint(name))
 	}
 }
 
+// Guards against settings that grow old within a term while its renewals go on: an evacuation that the leader had
+// not read was ignored for as long as that lasted. Orders expire with the settings they are based on.
+func TestLeader_NoStartsOnceSettingsAreOld(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	var readAt atomic.Int64
+	readAt.Store(int64(boottime.Now()))
+	l, _ := runLeaderWith(t, jobLedger, func(o *Options) {
+		o.EvacuationDeadline = orderTime + time.Second
+		o.SettingsAge = func() (time.Duration, bool) { return o.Now() - time.Duration(readAt.Load()), true }
+	})
+	a.await(t, hasGrant)
+	first := testJob(1)
+	must.NoError(t, jobLedger.Accept(t.Context(), first))
+	l.jobAccepted(first)
+	order := a.await(t, hasStarts)
+	test.LessEq(t, time.Duration(readAt.Load())+time.Second, time.Duration(order.message.Starts[0].ValidUntil))
+	time.Sleep(time.Until(time.Now().Add(time.Duration(readAt.Load()) + time.Second - boottime.Now())))
+	second := testJob(2)
+	must.NoError(t, jobLedger.Accept(t.Context(), second))
+	l.jobAccepted(second)
+	time.Sleep(8 * planInterval)
+	test.Eq(t, 1, a.count(hasStarts))
+	readAt.Store(int64(boottime.Now()))
+	a.await(t, func(m *wirepb.LeaderMessage) bool {
+		return hasStarts(m) && strings.HasPrefix(m.Starts[0].Details.Run.Task, second.ID)
+	})
+}
+
 // Guards against settings that are replaced between the reading of them and of their age: those of before the first
 // read, which are empty, counted as read, and a task was started in a drained zone.
 func TestLeader_SettingsReadDuringPlan(t *testing.T) {
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -58,8 +58,10 @@
 	// began is when this process had begun the term, or later.
 	began time.Duration
 	held  heldInputs
-	// settingsRead is set while the operator settings that the planner has are recent enough for starts.
-	settingsRead bool
+	// settingsAt is when the operator settings that the planner has were the latest; settingsKnown is false
+	// before they have been read.
+	settingsAt    time.Duration
+	settingsKnown bool
 	// grants bounds until when leaders of earlier terms extend leases.
 	grants grantsBound
 	// renewedAt is when the last successful term renewal was sent.
--- a/internal/leader/partial_test.go
+++ b/internal/leader/partial_test.go
@@ -51,8 +51,10 @@
 	r := &leadership{
 		opts: Options{
 			Logger: &log.Logger{Handler: discard.Default}, Now: func() time.Duration { return f.now }, LeaseDuration: 5 * time.Second,
+			EvacuationDeadline: defaultEvacuationDeadline,
 		},
 		planner: planner.New(planner.Options{Term: 1, EndedRetention: time.Minute, RemoteFactor: 1.5}), recovered: true,
+		held:     newHeldInputs(),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1),
 	}
 	f.agentConn = &agentConn{leadership: r, id: "a", registered: true, outPending: make(chan struct{}, 1)}
--- a/internal/leader/send.go
+++ b/internal/leader/send.go
@@ -20,11 +20,11 @@
 }
 
 // start orders a start. The network may delay the order, or this process may be suspended
-// before sending it. So ValidUntil is the end of this term's start validity, converted to the
+// before sending it. So ValidUntil is the time until which the inputs of the plan are valid, converted to the
 // agent's clock with the offset from its last heartbeat. Network delay of the heartbeat only
 // makes ValidUntil earlier.
 func (c *agentConn) start(o planner.Start) {
-	until := c.agentClock + c.leadership.renewedAt + startValidity - c.heartbeatAt
+	until := c.agentClock + c.leadership.startsValidUntil() - c.heartbeatAt
 	c.send(func(out *wirepb.LeaderMessage) {
 		order := &wirepb.StartOrder{
 			Details: runDetails(o.Run, o.Step), Payload: o.Payload, Checkpoint: o.Checkpoint,
