site, store: settings are as old as the answer that confirms them shows

Cause: an answer of a feed without rows counted as if the store had waited for a change, whatever time it took: when the store answered at once, the settings counted as current until up to 1 s later than now. An answer that has as many rows as the store returns at once may lack further changes and counted as complete.

Change: FeedRequest.CurrentAt says when what a follower has was current, for all feeds.

--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -177,17 +177,16 @@
 	if err != nil {
 		return err
 	}
+	currentAt, known := request.CurrentAt(began, w.Now(), len(rows))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if version < w.version {
 		return nil // a peer's settings were newer
 	}
 	w.update(rows, version)
-	if len(rows) == 0 {
-		// The store answers without rows only after it has waited for a change.
-		began += followWait
+	if known {
+		w.confirm(currentAt)
 	}
-	w.confirm(began)
 	return nil
 }
 
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -310,3 +310,56 @@
 		test.LessEq(t, 2*time.Second, age)
 	})
 }
+
+// scriptedStore answers the feeds of an empty table in turn, and then only after their wait.
+type scriptedStore struct {
+	disconnectingStore
+	feeds []func(c store.FeedRequest) ([]store.Row, int64, error)
+	waits []time.Duration
+}
+
+func (s *scriptedStore) Feed(ctx context.Context, c store.FeedRequest) ([]store.Row, int64, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, c.Wait)
+	if len(s.feeds) == 0 {
+		s.mu.Unlock()
+		time.Sleep(c.Wait)
+		return nil, c.After, ctx.Err()
+	}
+	answer := s.feeds[0]
+	s.feeds = s.feeds[1:]
+	s.mu.Unlock()
+	return answer(c)
+}
+
+// Guards against settings that count as newer than the answer that confirms them: the store answers without waiting
+// although nothing has changed, or with a page that may lack further changes.
+func TestWatcher_AgeAfterShortAndFullAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 100 * time.Millisecond
+		early := func(c store.FeedRequest) ([]store.Row, int64, error) {
+			time.Sleep(pause)
+			return nil, c.After, nil
+		}
+		full := func(c store.FeedRequest) ([]store.Row, int64, error) {
+			time.Sleep(pause)
+			return make([]store.Row, 500), c.After + 1, nil
+		}
+		silent := func(c store.FeedRequest) ([]store.Row, int64, error) {
+			time.Sleep(time.Hour)
+			return nil, c.After, nil
+		}
+		w := newWatcher(&scriptedStore{feeds: []func(store.FeedRequest) ([]store.Row, int64, error){early, full, full, silent}})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Hour)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.Run(ctx) }) // ends with its context
+		for _, want := range []time.Duration{1, 2, 3} {
+			time.Sleep(pause + time.Millisecond)
+			age, known := w.Age()
+			test.True(t, known)
+			test.GreaterEq(t, want*pause, age)
+		}
+		group.Wait()
+	})
+}
