site: the first feed that is answered after an outage confirms the settings at once

What callers saw: with the age of the settings bounded, starts stay held back for 1 s longer than the outage of the reads: the next feed waits for a change before it says that there is none.

Result: TestWatcher_FirstFeedAfterOutageDoesNotWait fails without the change.

--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -160,6 +160,9 @@
 	loaded, request := w.loaded, store.FeedRequest{Table: w.Table, After: w.version, Wait: followWait, MaxBytes: w.feedLimit}
 	w.mu.Unlock()
 	began := w.Now()
+	if readAt := time.Duration(w.readAt.Load()); began-readAt > store.StaleAge {
+		request.Wait = 0
+	}
 	if !loaded {
 		rows, version, err := w.Bulk.ReadAll(ctx, store.ReadRequest{Table: w.Table})
 		if err != nil {
--- a/internal/site/watch_test.go
+++ b/internal/site/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/site"
 	"bamboowood/internal/store"
@@ -363,3 +365,25 @@
 		group.Wait()
 	})
 }
+
+// Guards against settings that stay old for the wait of another feed after the reads of the table have failed: the
+// first feed that is answered is to confirm them at once.
+func TestWatcher_FirstFeedAfterOutageDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fail := func(c store.FeedRequest) ([]store.Row, int64, error) {
+			time.Sleep(c.Wait)
+			return nil, 0, errors.New("connection reset")
+		}
+		s := &scriptedStore{feeds: []func(store.FeedRequest) ([]store.Row, int64, error){fail, fail, fail}}
+		w := newWatcher(s)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.Run(ctx) }) // ends with its context
+		group.Wait()
+		first := slices.Index(s.waits, 0)
+		must.Positive(t, first)
+		test.LessEq(t, 3, first)
+		test.Eq(t, time.Second, s.waits[len(s.waits)-1])
+	})
+}
