--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -190,7 +190,7 @@
 		Advisor: advisor,
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
 		Site: siteWatcher.State, SettingsAge: siteWatcher.ReadAge, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
-		EvacuationDeadline: n.node.Bounds.EvacuationDeadline,
+		EvacuationDeadline: n.node.Bounds.EvacuationDeadline, CancelDeadline: n.node.Bounds.CancelDeadline,
 		Planner: planner.Options{
 			EarlyStart: n.node.Bounds.EarlyStart, EndedRetention: n.node.Bounds.StatusRetention,
 			RemoteFactor: n.node.Bounds.RemoteFactor, LearnedDurations: true, Lookahead: true, Speculation: true,
--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -29,10 +29,12 @@
 		return err
 	}
 	r.addUnreportedAgents(agents, clock)
+	readAt := r.opts.Now()
 	contents, err := r.readJobs()
 	if err != nil {
 		return err
 	}
+	r.cancelsCurrent(readAt)
 	r.term.SetProgressVersions(contents)
 	r.jobsToDelete, r.endsToDelete = contents.PartiallyDeleted, contents.ObsoleteEnds
 	r.recoverPlanner(contents)
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -41,6 +41,9 @@
 	// delivering changes without an error, so the wait must not be much longer than
 	// the delay that a change may have.
 	followWait = time.Second
+	// followCancelsWait is the same for cancels. After one call without an answer, the cancels must still be
+	// recent enough for starts.
+	followCancelsWait = 500 * time.Millisecond
 	// retryPause is the pause after a failed call of the store.
 	retryPause = 250 * time.Millisecond
 )
@@ -59,6 +62,9 @@
 	// EvacuationDeadline is the time after the confirmation of an evacuation from which on nothing may start in
 	// the zone; 0 means 5 s. No plan is based on older settings.
 	EvacuationDeadline time.Duration
+	// CancelDeadline is the time after the confirmation of a cancel from which on no task of the job may start; 0
+	// means 3 s. No plan is based on older cancels.
+	CancelDeadline time.Duration
 	// SettingsAge returns an upper bound of the time since they were the store's latest; known is false before
 	// they have been read. If it is nil, they count as read.
 	SettingsAge func() (age time.Duration, known bool)
@@ -103,6 +109,7 @@
 // New returns a Leader, which does nothing until Run is called.
 func New(opts Options) *Leader {
 	opts.EvacuationDeadline = cmp.Or(opts.EvacuationDeadline, defaultEvacuationDeadline)
+	opts.CancelDeadline = cmp.Or(opts.CancelDeadline, defaultCancelDeadline)
 	l := &Leader{opts: opts}
 	l.term.Store(&ledger.Term{})
 	return l
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/apex/log"
 
@@ -51,22 +52,47 @@
 
 func (r *leadership) followCancels(version int64) error {
 	return r.follow(version, func(after int64) (int64, error) {
-		c, err := r.opts.Ledger.FollowCancels(r.ctx, after, followWait)
+		sent := r.opts.Now()
+		feed := store.FeedRequest{After: after, Wait: r.cancelsWait(sent)}
+		c, err := r.opts.Ledger.FollowCancels(r.ctx, feed.After, feed.Wait)
 		if err != nil {
 			return 0, err
 		}
+		at, known := feed.CurrentAt(sent, r.opts.Now(), c.Rows)
 		r.applyContents(c)
+		if known {
+			r.cancelsCurrent(at)
+		}
 		return c.Version, nil
 	}, r.reload)
 }
 
+// cancelsWait returns how long the next call of the feed of cancels may wait for a change.
+func (r *leadership) cancelsWait(now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now-r.cancelsAt > store.StaleAge {
+		return 0
+	}
+	return followCancelsWait
+}
+
+// cancelsCurrent records that the planner has all cancels that were confirmed up to a time.
+func (r *leadership) cancelsCurrent(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancelsAt = max(r.cancelsAt, at)
+}
+
 // reload reads all jobs and cancels again. Those that the planner has already have no effect.
 func (r *leadership) reload() (int64, error) {
+	began := r.opts.Now()
 	c, err := r.readJobs()
 	if err != nil {
 		return 0, err
 	}
 	r.applyContents(c)
+	r.cancelsCurrent(began)
 	return c.Version, nil
 }
 
--- a/internal/leader/inputs.go
+++ b/internal/leader/inputs.go
@@ -21,11 +21,13 @@
 	// inputSettings are the drained zones and the configuration, which must not be older than an evacuation may
 	// take to be in force.
 	inputSettings planInput = "operator-settings"
+	// inputCancels are the cancels of jobs, which must not be older than a cancel may take to be in force.
+	inputCancels planInput = "cancels"
 	// inputAgents are the runs of earlier leaders. Only tasks that may have one are held back.
 	inputAgents planInput = "agents"
 )
 
-var planInputs = [...]planInput{inputRenewal, inputSettings, inputAgents}
+var planInputs = [...]planInput{inputRenewal, inputSettings, inputCancels, inputAgents}
 
 const (
 	// orderTime is how long after the expiry of an order its call may reach the runner: an agent gives a call
@@ -33,6 +35,8 @@
 	orderTime = 400 * time.Millisecond
 	// defaultEvacuationDeadline is the default of Options.EvacuationDeadline (RULES, EVAC).
 	defaultEvacuationDeadline = 5 * time.Second
+	// defaultCancelDeadline is the default of Options.CancelDeadline (RULES, UNASKED).
+	defaultCancelDeadline = 3 * time.Second
 	// maxAwaitedLogged bounds the agents named in a log line.
 	maxAwaitedLogged = 8
 	// heldLogInterval is the least time between two log lines about one input.
@@ -54,7 +58,10 @@
 // been confirmed at any time since it was last known to be current. Inputs that are not known are missing. It is
 // called with the lock held.
 func (r *leadership) validUntil() map[planInput]time.Duration {
-	until := map[planInput]time.Duration{inputRenewal: r.renewedAt + startValidity}
+	until := map[planInput]time.Duration{
+		inputRenewal: r.renewedAt + startValidity,
+		inputCancels: r.cancelsAt + r.opts.CancelDeadline - orderTime,
+	}
 	if r.opts.SettingsAge == nil {
 		return until
 	}
@@ -125,7 +132,7 @@
 			r.logHeld(input, held, missing[input])
 		}
 	}
-	return !missing[inputRenewal] && !missing[inputSettings]
+	return now < r.startsValidUntil()
 }
 
 func (r *leadership) logHeld(input planInput, held time.Duration, missing bool) {
@@ -134,10 +141,12 @@
 		entry.Info("starts are not held back any more")
 		return
 	}
-	if input == inputSettings && r.settingsKnown {
+	switch {
+	case input == inputSettings && r.settingsKnown:
 		entry = entry.WithField("age_ms", (r.opts.Now() - r.settingsAt).Milliseconds())
-	}
-	if input == inputAgents {
+	case input == inputCancels:
+		entry = entry.WithField("age_ms", (r.opts.Now() - r.cancelsAt).Milliseconds())
+	case input == inputAgents:
 		awaited := r.planner.AwaitedAgents()
 		entry = entry.WithField("unknown_agents", len(awaited)).
 			WithField("agents", strings.Join(awaited[:min(len(awaited), maxAwaitedLogged)], ","))
--- a/internal/leader/inputs_test.go
+++ b/internal/leader/inputs_test.go
@@ -12,6 +12,7 @@
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/job"
 	"bamboowood/internal/site"
+	"bamboowood/internal/store"
 	"bamboowood/internal/wire/wirepb"
 )
 
@@ -67,7 +68,7 @@
 		r.opts.SettingsAge = func() (time.Duration, bool) { return c.age, c.known }
 		r.opts.Site = func() *site.State { return &site.State{} }
 		r.opts.Now = func() time.Duration { return c.now }
-		r.began, r.renewedAt = began, c.now
+		r.began, r.renewedAt, r.cancelsAt = began, c.now, c.now
 		r.readSettings()
 		test.Eq(t, c.want, r.mayStart(c.now), test.Sprint(name))
 	}
@@ -104,6 +105,45 @@
 	})
 }
 
+// Guards against cancels that grow old within a term while its renewals go on: tasks of cancelled jobs were started
+// for as long as the leader could not read them. A cancel that an entry reports itself changes nothing about that.
+func TestLeader_NoStartsOnceCancelsAreOld(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	var refusing atomic.Bool
+	refused := make(chan struct{}, 1)
+	hooked.feedError = func(table string) error {
+		if table != "cancels" || !refusing.Load() {
+			return nil
+		}
+		signal(refused)
+		return store.ErrRefused
+	}
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	l, _ := runLeaderWith(t, jobLedger, func(o *Options) { o.CancelDeadline = orderTime + 1200*time.Millisecond })
+	a.await(t, hasGrant)
+	awaitLeading(t, l)
+	refusing.Store(true)
+	<-refused
+	time.Sleep(1200 * time.Millisecond)
+	cancelled, other := testJob(1), testJob(2)
+	for _, j := range []*job.Job{cancelled, other} {
+		must.NoError(t, jobLedger.Accept(t.Context(), j))
+	}
+	must.NoError(t, jobLedger.Cancel(t.Context(), cancelled.ID))
+	l.jobAccepted(cancelled)
+	l.jobAccepted(other)
+	l.jobCancelled(testJob(3).ID)
+	time.Sleep(8 * planInterval)
+	test.Zero(t, a.count(hasStarts))
+	refusing.Store(false)
+	order := a.await(t, hasStarts)
+	test.StrHasPrefix(t, other.ID, order.message.Starts[0].Details.Run.Task)
+	time.Sleep(4 * planInterval)
+	test.Eq(t, 1, a.count(hasStarts))
+}
+
 // Guards against settings that are replaced between the reading of them and of their age: those of before the first
 // read, which are empty, counted as read, and a task was started in a drained zone.
 func TestLeader_SettingsReadDuringPlan(t *testing.T) {
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -62,6 +62,8 @@
 	// before they have been read.
 	settingsAt    time.Duration
 	settingsKnown bool
+	// cancelsAt is when the cancels that the planner has were the latest.
+	cancelsAt time.Duration
 	// grants bounds until when leaders of earlier terms extend leases.
 	grants grantsBound
 	// renewedAt is when the last successful term renewal was sent.
--- a/internal/leader/leadership_test.go
+++ b/internal/leader/leadership_test.go
@@ -34,6 +34,8 @@
 	onApply func(store.Tx) error
 	onRead  func(store.ReadRequest) error
 	onFeed  func(table string)
+	// feedError returns the error of a feed.
+	feedError func(table string) error
 }
 
 // refuseWrites refuses all writes of single rows of a table until allow is called.
@@ -56,6 +58,11 @@
 	if s.onFeed != nil {
 		s.onFeed(c.Table)
 	}
+	if s.feedError != nil {
+		if err := s.feedError(c.Table); err != nil {
+			return nil, 0, err
+		}
+	}
 	return s.Store.Feed(ctx, c)
 }
 
--- a/internal/leader/partial_test.go
+++ b/internal/leader/partial_test.go
@@ -51,7 +51,7 @@
 	r := &leadership{
 		opts: Options{
 			Logger: &log.Logger{Handler: discard.Default}, Now: func() time.Duration { return f.now }, LeaseDuration: 5 * time.Second,
-			EvacuationDeadline: defaultEvacuationDeadline,
+			EvacuationDeadline: defaultEvacuationDeadline, CancelDeadline: defaultCancelDeadline,
 		},
 		planner: planner.New(planner.Options{Term: 1, EndedRetention: time.Minute, RemoteFactor: 1.5}), recovered: true,
 		held:     newHeldInputs(),
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Contents{Version: version}
+	c := &Contents{Version: version, Rows: len(rows)}
 	for _, row := range c.ownRows(stored(rows)) {
 		if !bytes.Equal(row.Value, compactedJob) {
 			c.addJob(DecodeJob(row.Key, row.Value))
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Contents{Version: version}
+	c := &Contents{Version: version, Rows: len(rows)}
 	for _, row := range c.ownRows(stored(rows)) {
 		c.Cancels = append(c.Cancels, row.Key)
 	}
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -22,6 +22,8 @@
 	Cancels  []string
 	// Version is the version from which feeds of jobs and cancels continue.
 	Version int64
+	// Rows is the number of rows that a feed has returned, whatever they hold.
+	Rows int
 	// PartiallyDeleted holds the ids of ended jobs whose deletion was interrupted: either the
 	// job or the progress is missing.
 	PartiallyDeleted []string
