--- a/internal/planner/aside.go
+++ b/internal/planner/aside.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// withdrawInterrupted removes the runs of a plan that has panicked. Their starts were not returned, and the inputs
+// of that plan may have changed since: their tasks are planned anew.
+func (p *Planner) withdrawInterrupted(now time.Duration) {
+	starts := p.starts
+	p.starts = nil
+	for _, o := range starts {
+		if r := p.agents[o.Agent].runs[o.Run]; r != nil {
+			p.dropRun(now, r)
+		}
+	}
+}
+
 // CurrentJob returns the id of the job that Plan is processing, empty if none. After a
 // panic in Plan it is the job whose processing panicked.
 func (p *Planner) CurrentJob() string { return p.currentJob }
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/site"
 )
 
 // planPanic plans and returns the value of the panic, nil if there was none.
@@ -20,7 +21,7 @@
 }
 
 // A job makes the planner panic in the middle of a plan. CurrentJob names the job, and
-// after its quarantine the next plan returns the starts of the interrupted plan. No
+// after its quarantine the next plan starts the tasks of the interrupted plan. No
 // capacity remains reserved for the job.
 func TestPlanner_Quarantine(t *testing.T) {
 	f := newFixture(t, 1)
@@ -45,6 +46,30 @@
 	test.Len(t, 0, f.plan().Starts)
 }
 
+// Guards against starts of an interrupted plan that are returned by a later one although the zone has been drained,
+// or the job cancelled, in the meantime.
+func TestPlanner_InterruptedPlanAndNewerInputs(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	good, cancelled, bad := testJob(1, step(2)), testJob(2, step(1)), testJob(3, step(3))
+	f.add(good, nil, false)
+	f.add(cancelled, nil, false)
+	f.add(bad, nil, false)
+	f.jobs[bad.ID].open[0].steps[0].runsOnAgent = nil // makes Plan panic after the starts of the other jobs
+	must.NotNil(t, f.planPanic())
+	f.Quarantine(f.now, f.CurrentJob())
+	f.SetSite(&site.State{Drained: map[string]bool{f.agents["a"].runner.Zone: true}})
+	f.Cancel(f.now, cancelled.ID)
+	orders := f.plan()
+	test.Len(t, 0, orders.Starts)
+	f.SetSite(&site.State{})
+	starts := f.plan().Starts
+	test.Len(t, 2, starts)
+	for _, o := range starts {
+		test.Eq(t, good.ID, o.Run.Task.Job)
+	}
+}
+
 // A plan is interrupted by a panic, and an agent reports its runs before the next plan. The runs
 // that the interrupted plan added there are dropped, so their starts must not be ordered as well
 // as those that replace them.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -81,6 +81,7 @@
 // this planner's leadership is uncertain; Starts and AdviceRequests are empty then.
 func (p *Planner) Plan(now Instant, mayStart bool) Orders {
 	p.lastInstant = now
+	p.withdrawInterrupted(now.Mono)
 	p.expireLeases(now.Mono)
 	for js := range p.scheduled {
 		p.currentJob = js.job.ID
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -99,8 +99,7 @@
 	starvationLimit            time.Duration
 	mostlyIdle, newJobsWaiting bool
 	startBudget                startBudget
-	// starts are the starts of the current plan so far. They are kept if the plan panics,
-	// because their runs are already accounted for, and returned by the next plan.
+	// starts are the starts of the current plan so far. If the plan panics, the next one removes their runs.
 	starts []Start
 	// quarantined holds the ids of the jobs passed to Quarantine.
 	quarantined map[string]bool
