soak: a zone is drained while the store refuses reads of single tables

The soak had one zone, no evacuation, and a store that fails as a whole, so that no term was renewed while its inputs grew old. It now checks in all of its tests that no task of a cancelled job starts after the bound, and in this one that nothing starts in a drained zone, by starts through agents that no fault has disturbed.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -46,6 +46,8 @@
 	accepted, unconfirmed bool
 	// cancelled: a cancel was answered 200. cancelSent: a cancel was sent.
 	cancelled, cancelSent bool
+	// cancelledAt is when that answer arrived.
+	cancelledAt time.Time
 }
 
 // refused reports whether every attempt was answered with a refusal.
@@ -237,7 +239,9 @@
 		status, _ := c.call(http.MethodDelete, s.id, nil, r)
 		if status == http.StatusOK || status == http.StatusGone {
 			s.mu.Lock()
-			s.cancelled = s.cancelled || status == http.StatusOK
+			if status == http.StatusOK && !s.cancelled {
+				s.cancelled, s.cancelledAt = true, time.Now()
+			}
 			s.mu.Unlock()
 			return
 		}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -33,6 +33,9 @@
 	if cl.options.has(crowd) {
 		schedule = append(schedule, cl.crowds(window)...)
 	}
+	if cl.options.has(evacuation) {
+		schedule = append(schedule, cl.evacuationFaults(window)...)
+	}
 	return append(schedule, cl.turnedAway(window)...)
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -136,6 +136,7 @@
 	faultsEnded := time.Now()
 	cl.awaitConvergence(c)
 	cl.checkInvariants()
+	cl.checkDeadlines(settings)
 	probes, judged := settings.check()
 	t.Logf("%d jobs, %d runner events, %d copies, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
 		len(cl.jobs.all()), len(cl.history.events), cl.copies, time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -28,6 +28,7 @@
 	cluster *cluster
 	number  int
 	ip      string
+	zone    string
 	agent   *process
 	proxy   *platformtest.Proxy // carries the calls to the runner
 
@@ -43,7 +44,7 @@
 // addVM adds a VM. Its agent is not started.
 func (cl *cluster) addVM(number int) *vm {
 	ip := address(cl.slot, 100+number)
-	v := &vm{cluster: cl, number: number, ip: ip, random: rand.New(rand.NewPCG(uint64(cl.seed), uint64(200+number)))}
+	v := &vm{cluster: cl, number: number, ip: ip, zone: cl.zoneOf(number), random: rand.New(rand.NewPCG(uint64(cl.seed), uint64(200+number)))}
 	v.startRunner()
 	v.proxy = cl.newProxy(cl.serve(net.JoinHostPort(ip, "18165"), v))
 	p := cl.newProcess("agent", ip, cl.storeAddress)
@@ -62,7 +63,7 @@
 func (v *vm) startRunner() {
 	cl := v.cluster
 	r := &platformtest.Runner{
-		ID: "i-" + v.ip, Service: service, Zone: "z1", Labels: []string{"a", "r1"}, CPU: runnerCPU, MemoryMB: runnerMemory,
+		ID: "i-" + v.ip, Service: service, Zone: v.zone, Labels: []string{"a", "r1"}, CPU: runnerCPU, MemoryMB: runnerMemory,
 		MaxLease: maxLease, Duration: cl.jobs.runResult, Observe: cl.history.add,
 	}
 	v.mu.Lock()
@@ -173,6 +174,7 @@
 	oddReport     = "odd-report"  // other writers send reports to agents
 	oddRow        = "odd-row"     // other writers write to the tables of the system
 	crowd         = "crowd"       // unknown clients send unfinished bodies to entries
+	evacuation    = "evacuation"  // a zone is drained and refilled, and the store refuses reads of single tables
 )
 
 func (o options) has(name string) bool { return slices.Contains(o, name) }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -84,6 +84,7 @@
 	jobs         *workload
 	// controls holds the address of each agent for the reports of runners.
 	controls []string
+	drains   []drain
 
 	mu      sync.Mutex // guards what changes when VMs and runners come and go
 	vms     []*vm
