--- a/internal/supervisor/endpages.go
+++ b/internal/supervisor/endpages.go
@@ -40,8 +40,11 @@
 	}
 }
 
-// endsIncomplete reports whether the runner has answered, but may have ends that it has not listed.
-func (s *Supervisor) endsIncomplete() bool { return s.runsListed && !s.pages.complete }
+// endsIncomplete reports whether the runner has answered, but may have ends that it has not listed. Ends do not count
+// any more once its lease has expired.
+func (s *Supervisor) endsIncomplete() bool {
+	return s.runsListed && !s.pages.complete && s.opts.Now() <= s.runnerLeaseUntil+killTime
+}
 
 // snapshotPages adds to a snapshot how far the runner has listed its ends.
 func (s *Supervisor) snapshotPages(u *Update) {
@@ -62,5 +65,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.pages.partialAt
-	return at != 0 && (s.pages.complete || s.opts.Now()-at >= partialSnapshotInterval)
+	return at != 0 && (!s.endsIncomplete() || s.opts.Now()-at >= partialSnapshotInterval)
 }
--- a/internal/supervisor/endpages_test.go
+++ b/internal/supervisor/endpages_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"bamboowood/internal/job"
+	"bamboowood/internal/runner"
 )
 
 // listEnds makes a runner of an earlier process list n ends in pages of two.
@@ -52,6 +53,7 @@
 	runTest(t, listEnds(5), func(h *harness) {
 		h.reportRunner("i-1", 1)
 		for range 5 {
+			h.grantLease()
 			snapshot, ok := h.Snapshot()
 			must.True(t, ok)
 			test.GreaterEq(t, testLease+partialSnapshotInterval, snapshot.UnlistedFor)
@@ -61,3 +63,38 @@
 		}
 	})
 }
+
+func isPartial(u Update) bool { return u.UnlistedFor >= testLease+partialSnapshotInterval }
+
+// Guards against partial snapshots without end after the runner is gone: its lease has expired, so that unlisted runs
+// are gone as well, but the leader held their tasks back for as long as the agent lived (LOST).
+func TestSupervisor_PartialSnapshotEndsWithTheLease(t *testing.T) {
+	for name, left := range map[string]bool{"crashed": false, "left": true} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, listEnds(5), func(h *harness) {
+				h.reportRunner("i-1", 1)
+				h.grantLease()
+				h.collectUpdates(heartbeat)
+				snapshot, ok := h.Snapshot()
+				must.True(t, ok)
+				must.True(t, isPartial(snapshot))
+				if left {
+					h.RunnerLeft("i-1", 0)
+				}
+				h.fake.setRenewErr(runner.ErrNoListener)
+				h.collectUpdates(testLease / 2)
+				must.True(t, h.SnapshotOutdated())
+				snapshot, ok = h.Snapshot()
+				must.True(t, ok)
+				test.Eq(t, !left, isPartial(snapshot), test.Sprint("the lease has not expired"))
+				h.collectUpdates(testLease)
+				test.Eq(t, !left, h.SnapshotOutdated())
+				snapshot, ok = h.Snapshot()
+				must.True(t, ok)
+				test.Zero(t, snapshot.UnlistedFor)
+				h.collectUpdates(2 * partialSnapshotInterval)
+				test.False(t, h.SnapshotOutdated())
+			})
+		})
+	}
+}
