leader: inputs stay valid for two waits of their feed at least

Cause: on a platform whose bounds are close to the time of a call, no order would ever be valid, and nothing would be started although all feeds are answered. No known platform has such bounds (cancel_ms is 3 s or more).

Change: a floor for the time for which settings and cancels are recent enough. Options group the deadlines behind the settings that they are about; comments of Plan and of the inputs say what holds starts back.

--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -59,16 +59,16 @@
 	Address, Process string
 	// Site returns the operators' current settings.
 	Site func() *site.State
+	// SettingsAge returns an upper bound of the time since they were the store's latest; known is false before
+	// they have been read. If it is nil, they count as read.
+	SettingsAge func() (age time.Duration, known bool)
 	// EvacuationDeadline is the time after the confirmation of an evacuation from which on nothing may start in
 	// the zone; 0 means 5 s. No plan is based on older settings.
 	EvacuationDeadline time.Duration
 	// CancelDeadline is the time after the confirmation of a cancel from which on no task of the job may start; 0
 	// means 3 s. No plan is based on older cancels.
 	CancelDeadline time.Duration
-	// SettingsAge returns an upper bound of the time since they were the store's latest; known is false before
-	// they have been read. If it is nil, they count as read.
-	SettingsAge func() (age time.Duration, known bool)
-	// Snapshot returns them for another entry that has those of version after.
+	// Snapshot returns the settings for another entry that has those of version after.
 	Snapshot func(after int64) (snapshot site.Snapshot, known bool)
 	// Now is a monotonic clock that includes the time in which the machine was
 	// suspended.
--- a/internal/leader/inputs.go
+++ b/internal/leader/inputs.go
@@ -54,24 +54,30 @@
 	r.planner.SetSite(r.opts.Site())
 }
 
-// validUntil returns until when each input of a plan is recent enough for a start: a change of it may have
-// been confirmed at any time since it was last known to be current. Inputs that are not known are missing. It is
-// called with the lock held.
+// validUntil returns until when each input of a plan is recent enough for a start. A change that the input lacks may
+// have been confirmed right after the input was last known to be current. It is called with the lock held.
 func (r *leadership) validUntil() map[planInput]time.Duration {
 	until := map[planInput]time.Duration{
 		inputRenewal: r.renewedAt + startValidity,
-		inputCancels: r.cancelsAt + r.opts.CancelDeadline - orderTime,
+		inputCancels: r.cancelsAt + validity(r.opts.CancelDeadline, followCancelsWait),
 	}
 	if r.opts.SettingsAge == nil {
 		return until
 	}
-	until[inputSettings] = 0
+	until[inputSettings] = 0 // never, before they have been read
 	if r.settingsKnown {
-		until[inputSettings] = r.settingsAt + r.opts.EvacuationDeadline - orderTime
+		until[inputSettings] = r.settingsAt + validity(r.opts.EvacuationDeadline, followWait)
 	}
 	return until
 }
 
+// validity returns for how long an input is recent enough for a start, given the time after which a change of it must
+// be in force. It is never shorter than two waits of the input's feed, so that starts are not held back while that
+// is answered.
+func validity(deadline, feedWait time.Duration) time.Duration {
+	return max(deadline-orderTime, 2*feedWait)
+}
+
 // startsValidUntil returns until when agents may carry out starts that are planned now. It is called with the lock
 // held.
 func (r *leadership) startsValidUntil() time.Duration {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -78,7 +78,8 @@
 }
 
 // Plan returns the orders that follow from all events so far. mayStart must be false while
-// this planner's leadership is uncertain; Starts and AdviceRequests are empty then.
+// this planner's leadership is uncertain, or its inputs are not recent enough; Starts and AdviceRequests
+// are empty then.
 func (p *Planner) Plan(now Instant, mayStart bool) Orders {
 	p.lastInstant = now
 	p.withdrawInterrupted(now.Mono)
