--- a/test/soak/evacuation_test.go
+++ b/test/soak/evacuation_test.go
@@ -87,7 +87,7 @@
 			vms[r.ID] = v
 		}
 	}
-	for _, e := range cl.history.events {
+	for _, e := range cl.history.all() {
 		v := vms[e.Runner]
 		if e.Kind != platformtest.RunStarted || c.disturbed(v.agent, e.At.Add(-contactTime), e.At) {
 			continue
--- a/test/soak/record_test.go
+++ b/test/soak/record_test.go
@@ -29,6 +29,13 @@
 	h.messages = append(h.messages, fmt.Sprintf(format, args...))
 }
 
+// all returns the events so far.
+func (h *history) all() []platformtest.RunnerEvent {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.events)
+}
+
 func (h *history) failures() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
