--- a/test/ingress/ingress_test.go
+++ b/test/ingress/ingress_test.go
@@ -27,8 +27,8 @@
 const ordinaryJob = `{"spec":"s","steps":[{"count":2,"cpu":500,"memMb":16,"estimateMs":100}]}`
 
 // submitOrdinary submits an ordinary job.
-func (p *process) submitOrdinary() error {
-	return p.request(http.MethodPost, callers, "/x/00000000000000aa", ordinaryJob)
+func submitOrdinary() error {
+	return request(http.MethodPost, callers, "/x/00000000000000aa", ordinaryJob)
 }
 
 // sendAll opens n connections to address and sends each of pieces on all of them before the next.
@@ -97,7 +97,7 @@
 				}
 				return pieces
 			})
-			p.check(p.submitOrdinary)
+			p.check(submitOrdinary)
 		})
 	}
 }
@@ -109,7 +109,7 @@
 	sendAll(t, callers, 40, func(i int) [][]byte {
 		return [][]byte{[]byte(submission(i, fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body)}
 	})
-	p.check(p.submitOrdinary)
+	p.check(submitOrdinary)
 }
 
 // Guards against headers and query strings that together exceed the memory of the process, on each
@@ -132,9 +132,9 @@
 			p := start(t, c.role)
 			sendAll(t, c.address, 100, func(int) [][]byte { return [][]byte{c.data} })
 			if c.role == "entry" {
-				p.check(p.submitOrdinary)
+				p.check(submitOrdinary)
 			} else {
-				p.check(func() error { return p.request(http.MethodGet, metrics, "/metrics", "") })
+				p.check(func() error { return request(http.MethodGet, metrics, "/metrics", "") })
 			}
 		})
 	}
@@ -161,19 +161,19 @@
 			p := start(t, c.role)
 			sendAll(t, c.address, crowd, func(int) [][]byte { return [][]byte{[]byte(c.data)} })
 			if c.role == "entry" {
-				p.check(p.submitOrdinary)
+				p.check(submitOrdinary)
 			} else {
-				p.check(func() error { return p.request(http.MethodGet, metrics, "/metrics", "") })
+				p.check(func() error { return request(http.MethodGet, metrics, "/metrics", "") })
 			}
 		})
 	}
 }
 
-// sendStreams opens sessions to the port for sessions between processes and sends data on several
+// sendStreams opens sessions to a port for sessions between processes and sends data on several
 // streams of each.
-func sendStreams(t *testing.T, sessions, streams int, data func(k int) []byte) {
+func sendStreams(t *testing.T, address string, sessions, streams int, data func(k int) []byte) {
 	for range sessions {
-		conn, err := net.DialTimeout("tcp", peers, patience)
+		conn, err := net.DialTimeout("tcp", address, patience)
 		must.NoError(t, err)
 		t.Cleanup(func() { _ = conn.Close() })
 		settings := yamux.DefaultConfig()
@@ -201,11 +201,11 @@
 	for _, role := range []string{"entry", "agent"} {
 		t.Run(role, func(t *testing.T) {
 			p := start(t, role)
-			sendStreams(t, 4, 200, func(int) []byte { return data })
+			sendStreams(t, peers, 4, 200, func(int) []byte { return data })
 			if role == "entry" {
-				p.check(p.submitOrdinary)
+				p.check(submitOrdinary)
 			} else {
-				p.check(func() error { return p.request(http.MethodGet, metrics, "/metrics", "") })
+				p.check(func() error { return request(http.MethodGet, metrics, "/metrics", "") })
 			}
 		})
 	}
@@ -215,12 +215,12 @@
 func TestIngress_CancelledBeforeAccepted(t *testing.T) {
 	p := start(t, "entry")
 	id := strings.Repeat("x", 1<<20)
-	sendStreams(t, 1, 150, func(k int) []byte {
+	sendStreams(t, peers, 1, 150, func(k int) []byte {
 		data, err := proto.Marshal(&wirepb.Query{Job: fmt.Sprint(k, id), Cancelled: true})
 		must.NoError(t, err)
 		return append(protowire.AppendVarint(nil, uint64(len(data))), data...)
 	})
-	p.check(p.submitOrdinary)
+	p.check(submitOrdinary)
 }
 
 // Guards against legal jobs whose tasks take all of the leader's memory.
@@ -232,5 +232,5 @@
 			return [][]byte{[]byte(submission(first+i, fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body)}
 		})
 	}
-	p.check(p.submitOrdinary)
+	p.check(submitOrdinary)
 }
--- a/test/ingress/main_test.go
+++ b/test/ingress/main_test.go
@@ -15,9 +15,9 @@
 // count as memory of the process.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
-func run(m *testing.M) int {
+func runTests(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "ingress")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/test/ingress/process_test.go
+++ b/test/ingress/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,22 +25,37 @@
 	"bamboowood/platform/platformtest"
 )
 
-// Limits of the process under test, as in its settings file, and the bounds of the checks. They are
+// Limits of a process under test, as in its settings file, and the bounds of the checks. They are
 // far below those of a real machine, so that a small crowd exceeds them.
 const (
 	memoryMB = 64
 	maxFds   = 256
 )
 
+// bounds are the limits of one process.
+type bounds struct{ memoryMB, maxFds int }
+
 // patience bounds each wait. Each ends as soon as its condition holds.
 const patience = 60 * time.Second
 
 const bodyLimit = 262_144
 
+// Ports of a process on the platform.
+const (
+	callersPort   = 18161
+	runnerPort    = 18165
+	reportsPort   = 18166
+	readinessPort = 18167
+	peersPort     = 17720
+	metricsPort   = 9464
+)
+
 // Addresses of the process and the store. Each run of the tests has its own, so that several may run at
 // once.
 var storeAddress, processIP, callers, readiness, reports, peers, metrics string
 
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
 // reserveAddresses sets the addresses to those of a block that no other run uses until the process ends.
 func reserveAddresses() (net.Listener, error) {
 	for block := 8; ; block++ {
@@ -48,8 +64,8 @@
 			continue
 		}
 		storeAddress, processIP = fmt.Sprintf("127.%d.8.1:18169", block), fmt.Sprintf("127.%d.8.10", block)
-		callers, readiness, reports = processIP+":18161", processIP+":18167", processIP+":18166"
-		peers, metrics = processIP+":17720", processIP+":9464"
+		callers, readiness, reports = at(processIP, callersPort), at(processIP, readinessPort), at(processIP, reportsPort)
+		peers, metrics = at(processIP, peersPort), at(processIP, metricsPort)
 		return ln, err
 	}
 }
@@ -58,11 +74,13 @@
 	"maxAttempts":2,"stretch":2,"sloMs":1000}],"services":[{"name":"desk","admissionCheck":false}],
 	"limits":{"maxBodyBytes":%d}}`, bodyLimit)
 
-// process is the process under test.
+// process is a process under test.
 type process struct {
-	t     *testing.T
-	cmd   *exec.Cmd
-	ended atomic.Bool
+	t      *testing.T
+	name   string
+	bounds bounds
+	cmd    *exec.Cmd
+	ended  atomic.Bool
 
 	mu   sync.Mutex
 	peak int // most open descriptors that were seen
@@ -81,12 +99,18 @@
 	store := platformtest.NewStore()
 	store.WriteOperator("config", []byte(config))
 	serve(t, storeAddress, store)
+	return startNode(t, role, processIP)
+}
+
+// startNode starts a process of the role on the platform, whose address is ip, and waits until it is
+// ready.
+func startNode(t *testing.T, role, ip string) *process {
 	path := filepath.Join(t.TempDir(), "node.toml")
-	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `nodeName = "n-1"
+	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `nodeName = "n-%s"
 ip = %q
 zone = "z1"
 portRange = [17720, 17735]
-app = "127.0.0.1:1"
+app = %q
 [listen]
 front = %q
 ready = %q
@@ -101,9 +125,21 @@
 holdMaxMs = 6000
 graceS = 4.0
 status_s = 60
-`, processIP, callers, readiness, reports, memoryMB, maxFds, storeAddress), 0o600))
-	p := &process{t: t, cmd: exec.Command(binary, "platform", role)}
-	p.cmd.Env = append(os.Environ(), "BAMBOOWOOD_SETTINGS="+path)
+`, ip, ip, at(ip, runnerPort), at(ip, callersPort), at(ip, readinessPort), at(ip, reportsPort), memoryMB, maxFds,
+		storeAddress), 0o600))
+	p := launch(t, role+" "+ip, bounds{memoryMB, maxFds}, []string{"BAMBOOWOOD_SETTINGS=" + path}, binary, "platform", role)
+	if role == "entry" {
+		p.waitFor("a leader", func() error { return request(http.MethodGet, at(ip, callersPort), "/x/", "") })
+	} else {
+		p.waitFor("metrics", func() error { return request(http.MethodGet, at(ip, metricsPort), "/metrics", "") })
+	}
+	return p
+}
+
+// launch starts a process and watches it until the test ends.
+func launch(t *testing.T, name string, limits bounds, env []string, command string, args ...string) *process {
+	p := &process{t: t, name: name, bounds: limits, cmd: exec.Command(command, args...)}
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	must.NoError(t, p.cmd.Start())
 	done := make(chan struct{})
@@ -117,20 +153,20 @@
 		_ = p.cmd.Process.Kill()
 		<-done
 		if t.Failed() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			text := p.log.String()
-			t.Logf("end of the log:\n%s", text[max(0, len(text)-2000):])
+			text := p.output()
+			t.Logf("end of the log of %s:\n%s", name, text[max(0, len(text)-2000):])
 		}
 	})
-	if role == "entry" {
-		p.waitFor("a leader", func() error { return p.request(http.MethodGet, callers, "/x/", "") })
-	} else {
-		p.waitFor("metrics", func() error { return p.request(http.MethodGet, metrics, "/metrics", "") })
-	}
 	return p
 }
 
+// output returns the log of the process so far.
+func (p *process) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
 func serve(t *testing.T, address string, handler http.Handler) {
 	ln, err := net.Listen("tcp", address)
 	must.NoError(t, err)
@@ -141,32 +177,48 @@
 
 func (p *process) waitFor(what string, f func() error) {
 	p.t.Helper()
-	must.Wait(p.t, wait.InitialSuccess(wait.ErrorFunc(func() error {
-		if p.ended.Load() {
-			return nil // reported by check
+	waitFor(p.t, []*process{p}, what, f)
+}
+
+// waitFor waits until f succeeds or one of the processes has ended, which checkBounds reports.
+func waitFor(t *testing.T, processes []*process, what string, f func() error) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+		if slices.ContainsFunc(processes, func(p *process) bool { return p.ended.Load() }) {
+			return nil
 		}
 		return f()
 	}), wait.Timeout(patience), wait.Gap(50*time.Millisecond)), must.Sprint(what))
 }
 
-// request sends one request on its own connection and returns an error unless the status is 200.
-func (p *process) request(method, address, path, body string) error {
+// request sends one request on its own connection and returns an error unless it succeeds. headers
+// are names followed by their values.
+func request(method, address, path, body string, headers ...string) error {
+	_, err := response(method, address, path, body, headers...)
+	return err
+}
+
+// response is request with the body of the response.
+func response(method, address, path, body string, headers ...string) ([]byte, error) {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.Host = "a.example"
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
 	response, err := client.Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, _ := io.ReadAll(response.Body)
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %.200s", response.StatusCode, text)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
+		return nil, fmt.Errorf("status %d: %.200s", response.StatusCode, text)
 	}
-	return nil
+	return text, nil
 }
 
 // ordinaryRequests is the number of ordinary requests after a crowd. The first ones may be answered
@@ -182,14 +234,20 @@
 		p.countDescriptors()
 		time.Sleep(50 * time.Millisecond)
 	}
-	must.False(p.t, p.ended.Load(), must.Sprintf("process ended: %v", p.cmd.ProcessState))
+	p.checkBounds()
+}
+
+// checkBounds checks that the process lives and has stayed within its bounds.
+func (p *process) checkBounds() {
+	p.t.Helper()
+	must.False(p.t, p.ended.Load(), must.Sprintf("%s ended: %v", p.name, p.cmd.ProcessState))
 	kb := p.peakMemoryKB()
 	p.mu.Lock()
 	peak := p.peak
 	p.mu.Unlock()
-	p.t.Logf("peak memory %d kB, most descriptors %d", kb, peak)
-	test.LessEq(p.t, memoryMB<<10, kb, test.Sprint("kB at the peak"))
-	test.LessEq(p.t, maxFds, peak, test.Sprint("open descriptors"))
+	p.t.Logf("%s: peak memory %d kB, most descriptors %d", p.name, kb, peak)
+	test.LessEq(p.t, p.bounds.memoryMB<<10, kb, test.Sprintf("kB at the peak of %s", p.name))
+	test.LessEq(p.t, p.bounds.maxFds, peak, test.Sprintf("open descriptors of %s", p.name))
 }
 
 // peakMemoryKB returns the largest resident set size of the process so far.
@@ -231,7 +289,7 @@
 		p.countDescriptors()
 		data, _ := os.ReadFile(status)
 		if f := strings.Fields(string(data)); len(f) > 1 {
-			if pages, _ := strconv.Atoi(f[1]); pages*os.Getpagesize() > 16*memoryMB<<20 {
+			if pages, _ := strconv.Atoi(f[1]); pages*os.Getpagesize() > 16*p.bounds.memoryMB<<20 {
 				_ = p.cmd.Process.Signal(syscall.SIGKILL)
 			}
 		}
