--- a/internal/wire/bounded.go
+++ b/internal/wire/bounded.go
@@ -49,7 +49,7 @@
 	}
 	frames := &frameConn{Conn: conn}
 	if bounds.Pool != nil {
-		s.memory = &sessionMemory{peer: s.remote, report: bounds.Report}
+		s.memory = &sessionMemory{peer: s.remote, report: bounds.Report, streams: map[uint32]*streamMemory{}}
 		s.memory.member = bounds.Pool.Join(bounds.MaxSession, sync.OnceFunc(func() {
 			bounds.Report.Refused(ingress.PeerMemory, s.remote, nil)
 			_ = conn.Close()
@@ -77,23 +77,101 @@
 	return s, nil
 }
 
-// sessionMemory accounts for the data that a session has received and that no stream has read yet. Data
-// that is left when a stream is closed counts until the session ends.
+// sessionMemory accounts for the data that a session has received and that no stream has read yet. What is
+// left when a stream is closed counts until yamux has dropped the stream's buffer.
 type sessionMemory struct {
 	member *ingress.Member
 	peer   string
 	report *ingress.Report
 	parser frameParser
+
+	mu sync.Mutex
+	// streams are the streams that yamux has buffers for. It discards data of others.
+	streams map[uint32]*streamMemory
+}
+
+// streamMemory is the memory of one stream.
+type streamMemory struct {
+	taken  int64 // in bytes
+	closed bool
 }
 
 // received accounts for bytes that were read from the connection.
 func (m *sessionMemory) received(p []byte) error {
-	if n := m.parser.data(p); n > 0 {
-		return m.take(bufferFactor * int64(n))
+	for len(p) > 0 {
+		var part framePart
+		part, p = m.parser.next(p)
+		if part.opens {
+			m.opened(part.stream)
+		}
+		if err := m.receivedData(part.stream, bufferFactor*int64(part.data)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// receivedData takes n bytes for data of a stream.
+func (m *sessionMemory) receivedData(id uint32, n int64) error {
+	m.mu.Lock()
+	stream := m.streams[id]
+	m.mu.Unlock()
+	if n == 0 || stream == nil {
+		return nil
+	}
+	if err := m.take(n); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.streams[id] != stream {
+		m.member.Give(n)
+		return nil
 	}
+	stream.taken += n
 	return nil
 }
 
+// opened begins to account for a stream. Its id may be that of one that has been closed.
+func (m *sessionMemory) opened(id uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stream := m.streams[id]; stream == nil || stream.closed {
+		m.streams[id] = &streamMemory{}
+	}
+}
+
+// read returns the memory of n bytes that were read from a stream.
+func (m *sessionMemory) read(id uint32, n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stream := m.streams[id]; stream != nil {
+		n = min(n, stream.taken)
+		stream.taken -= n
+		m.member.Give(n)
+	}
+}
+
+// closed returns the memory of a stream once yamux has dropped its buffer.
+func (m *sessionMemory) closed(id uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stream := m.streams[id]
+	if stream == nil || stream.closed {
+		return
+	}
+	stream.closed = true
+	time.AfterFunc(boundedCloseTimeout, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.member.Give(stream.taken)
+		stream.taken = 0
+		if m.streams[id] == stream {
+			delete(m.streams, id)
+		}
+	})
+}
+
 // take takes n bytes and waits if another peer is expelled for them.
 func (m *sessionMemory) take(n int64) error {
 	for began := time.Now(); ; time.Sleep(memoryPause) {
@@ -108,32 +186,41 @@
 	}
 }
 
-// frameParser finds the bodies of data frames in the bytes of a connection.
+// frameParser finds the streams and the data in the bytes of a connection.
 type frameParser struct {
 	header [frameHeaderBytes]byte
 	filled int
-	// body is the number of bytes that are left of the current frame's body.
+	// body is the number of bytes that are left of the current frame's data.
 	body int
 }
 
-// data returns how many of the bytes p, which follow those of earlier calls, are bodies of data frames.
-func (f *frameParser) data(p []byte) int {
-	total := 0
-	for len(p) > 0 {
-		if f.body > 0 {
-			n := min(f.body, len(p))
-			total, f.body, p = total+n, f.body-n, p[n:]
-			continue
-		}
-		n := copy(f.header[f.filled:], p)
-		f.filled, p = f.filled+n, p[n:]
-		if f.filled < frameHeaderBytes {
-			break
-		}
-		f.filled = 0
-		if f.header[frameTypeOffset] == frameTypeData {
-			f.body = int(binary.BigEndian.Uint32(f.header[frameLengthOffset:]))
-		}
+// framePart is a part of one frame.
+type framePart struct {
+	stream uint32
+	// opens is set if the frame opens the stream.
+	opens bool
+	// data is the number of bytes of the stream's data.
+	data int
+}
+
+// next returns the first part in the bytes p, which follow those of earlier calls, and the bytes after it.
+func (f *frameParser) next(p []byte) (part framePart, rest []byte) {
+	if f.body > 0 {
+		n := min(f.body, len(p))
+		f.body -= n
+		return framePart{stream: f.stream(), data: n}, p[n:]
 	}
-	return total
+	n := copy(f.header[f.filled:], p)
+	f.filled += n
+	if f.filled < frameHeaderBytes {
+		return framePart{}, p[n:]
+	}
+	f.filled = 0
+	if f.header[frameTypeOffset] == frameTypeData {
+		f.body = int(binary.BigEndian.Uint32(f.header[frameLengthOffset:]))
+	}
+	flags := binary.BigEndian.Uint16(f.header[frameFlagsOffset:])
+	return framePart{stream: f.stream(), opens: flags&frameFlagSYN != 0}, p[n:]
 }
+
+func (f *frameParser) stream() uint32 { return binary.BigEndian.Uint32(f.header[frameStreamOffset:]) }
--- a/internal/wire/bounded_test.go
+++ b/internal/wire/bounded_test.go
@@ -37,7 +37,11 @@
 		got := 0
 		for len(stream) > 0 {
 			n := rapid.IntRange(1, len(stream)).Draw(t, "read")
-			got += f.data(stream[:n])
+			for read := stream[:n]; len(read) > 0; {
+				var part framePart
+				part, read = f.next(read)
+				got += part.data
+			}
 			stream = stream[n:]
 		}
 		if got != want {
@@ -72,6 +76,31 @@
 	_ = server.Close()
 }
 
+// Guards against a long session that ends because answers which arrive after their stream was closed, as
+// those of hedged requests do, stay counted.
+func TestBoundedSession_ClosedStreams(t *testing.T) {
+	pool := ingress.NewPool(1 << 20)
+	near, far := net.Pipe()
+	server, err := NewBoundedServerSession(far, Bounds{Pool: pool})
+	must.NoError(t, err)
+	client, err := NewClientSession(near)
+	must.NoError(t, err)
+	answer := &wirepb.Query{Job: string(make([]byte, 100<<10))}
+	for range 20 {
+		out, err := server.Open(t.Context())
+		must.NoError(t, err)
+		must.NoError(t, out.Send(&wirepb.Query{}))
+		in, err := client.Accept(t.Context())
+		must.NoError(t, err)
+		must.NoError(t, in.Send(answer))
+		must.NoError(t, out.Close())
+		must.NoError(t, in.Close())
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return pool.Used() == 0 }), wait.Timeout(30*time.Second)))
+	}
+	_ = client.Close()
+	_ = server.Close()
+}
+
 // Guards against a peer that sends without a bound what nobody reads.
 func TestBoundedSession_UnreadData(t *testing.T) {
 	pool := ingress.NewPool(1 << 20)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -10,8 +10,11 @@
 const (
 	frameHeaderBytes  = 12
 	frameTypeOffset   = 1
+	frameFlagsOffset  = 2
+	frameStreamOffset = 4
 	frameLengthOffset = 8
 	frameTypeData     = 0
+	frameFlagSYN      = 1
 )
 
 // maxJoinedBytes is the largest frame body that is copied behind its header so that
--- a/internal/wire/yamux.go
+++ b/internal/wire/yamux.go
@@ -134,6 +134,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSessionClosed, err)
 	}
+	if s.memory != nil {
+		s.memory.opened(stream.StreamID())
+	}
 	return s.newStream(stream), nil
 }
 
@@ -236,7 +239,7 @@
 func (s *yamuxStream) Read(p []byte) (int, error) {
 	n, err := s.stream.Read(p)
 	if memory := s.session.memory; memory != nil && n > 0 {
-		memory.member.Give(bufferFactor * int64(n))
+		memory.read(s.stream.StreamID(), bufferFactor*int64(n))
 	}
 	return n, err
 }
@@ -262,7 +265,12 @@
 func (s *yamuxStream) SetDeadline(t time.Time) error { return s.stream.SetDeadline(t) }
 
 // Close implements Stream.
-func (s *yamuxStream) Close() error { return s.stream.Close() }
+func (s *yamuxStream) Close() error {
+	if memory := s.session.memory; memory != nil {
+		defer memory.closed(s.stream.StreamID())
+	}
+	return s.stream.Close()
+}
 
 // yamuxLogger logs yamux's messages at debug level, since failures are also returned to
 // the caller as errors.
