--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -32,6 +32,9 @@
 	Log                log.Interface
 }
 
+// devMemory bounds the memory of dev, in bytes, if its environment allows more.
+const devMemory = 256 << 20
+
 // Dev is a whole deployment in one process on loopback.
 type Dev struct {
 	standin *Standin
@@ -46,7 +49,9 @@
 	d.VMs, d.VMsPerRack = devVMs, devVMsPerRack
 	dev := &Dev{log: opts.Log}
 	var err error
-	if dev.standin, err = NewStandin(devStandin(d), opts.Log); err != nil {
+	shared := newResources(resourceOptions{maxMemory: devMemory}, opts.Log)
+	shared.limits = shared.limits.Halve() // the other half is left to the entry
+	if dev.standin, err = newStandin(devStandin(d), opts.Log, shared); err != nil {
 		return nil, err
 	}
 	if dev.entry, err = devEntry(d, opts, dev.standin.Addr); err != nil {
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	s.LimitProcess()
 	return s.Run(ctx)
 }
 
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -35,7 +36,8 @@
 	evictionPause = 5 * time.Millisecond
 )
 
-// Gate admits the bodies of callers. It is safe for concurrent use.
+// Gate admits the bodies of all clients of a process, at any of its listeners. It is safe for concurrent
+// use.
 type Gate struct {
 	report *Report
 	// maxTime bounds the time in which a body must be complete; 0 means no bound besides progress.
@@ -56,6 +58,7 @@
 	Data  []byte
 	gate  *Gate
 	grant *Grant
+	conn  *Conn // nil if unknown
 }
 
 // Read reads the body of a request of at most limit bytes. After an error, the connection is closed.
@@ -80,8 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Body{gate: g, grant: grant, Data: make([]byte, 0, size)}
-	if err := b.receive(http.MaxBytesReader(w, r.Body, limit), conn, r.ContentLength, limit); err != nil {
+	b := &Body{gate: g, grant: grant, conn: conn, Data: make([]byte, 0, size)}
+	if err := b.receive(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit); err != nil {
 		b.Release()
 		return nil, err
 	}
@@ -95,7 +98,7 @@
 		interrupt = func() { _ = conn.SetReadDeadline(time.Now()) }
 	}
 	var grant *Grant
-	ok := g.makeRoom(n, func(now time.Time) (ok, stop bool) {
+	ok := g.makeRoom(n, conn, func(now time.Time) (ok, stop bool) {
 		grant = g.account.Open(now, n, interrupt)
 		return grant != nil, false
 	})
@@ -107,7 +110,7 @@
 
 // makeRoom calls take until it returns ok or stop, and evicts bodies so that n bytes become free. It
 // gives up after evictionWait, or at once if there is nothing to evict.
-func (g *Gate) makeRoom(n int64, take func(now time.Time) (ok, stop bool)) bool {
+func (g *Gate) makeRoom(n int64, conn *Conn, take func(now time.Time) (ok, stop bool)) bool {
 	began := time.Now()
 	for now := began; ; now = time.Now() {
 		g.mu.Lock()
@@ -122,10 +125,10 @@
 		}
 		g.mu.Unlock()
 		for range evicted {
-			g.report.Refused(BodyEvicted, "callers", nil)
+			g.report.Refused(BodyEvicted, conn.where(), nil)
 		}
 		if !pending || now.Sub(began) > evictionWait {
-			g.report.Refused(BodyMemory, "callers", nil)
+			g.report.Refused(BodyMemory, conn.where(), nil)
 			return false
 		}
 		time.Sleep(evictionPause)
@@ -133,7 +136,7 @@
 }
 
 // receive reads the body into Data.
-func (b *Body) receive(body io.Reader, conn *Conn, declared, limit int64) error {
+func (b *Body) receive(body io.Reader, declared, limit int64) error {
 	began := time.Now()
 	extended := began
 	for {
@@ -145,7 +148,7 @@
 		n, err := body.Read(b.Data[len(b.Data):cap(b.Data)])
 		b.Data = b.Data[:len(b.Data)+n]
 		if err == io.EOF {
-			return b.complete(conn)
+			return b.complete()
 		}
 		if err != nil {
 			return b.readError(err)
@@ -155,11 +158,11 @@
 			if err := drain(body); err != nil {
 				return b.readError(err)
 			}
-			return b.complete(conn)
+			return b.complete()
 		}
 		if now := time.Now(); now.Sub(extended) > deadlineStep {
 			extended = now
-			if err := b.extend(conn, began, now); err != nil {
+			if err := b.extend(began, now); err != nil {
 				return err
 			}
 		}
@@ -192,7 +195,7 @@
 }
 
 // extend records the progress of the body and sets the deadline for the next part of it.
-func (b *Body) extend(conn *Conn, began, now time.Time) error {
+func (b *Body) extend(began, now time.Time) error {
 	deadline := now.Add(ProgressTimeout + deadlineStep)
 	if b.gate.maxTime > 0 && began.Add(b.gate.maxTime).Before(deadline) {
 		deadline = began.Add(b.gate.maxTime)
@@ -203,22 +206,22 @@
 	if b.grant.evicted {
 		return ErrMemory
 	}
-	if conn != nil {
-		_ = conn.SetReadDeadline(deadline)
+	if b.conn != nil {
+		_ = b.conn.SetReadDeadline(deadline)
 	}
 	return nil
 }
 
-func (b *Body) complete(conn *Conn) error {
+func (b *Body) complete() error {
 	b.gate.mu.Lock()
 	defer b.gate.mu.Unlock()
 	if !b.gate.account.Complete(b.grant) {
 		return ErrMemory
 	}
-	if conn != nil {
+	if b.conn != nil {
 		// The server now waits for the client to leave, which has no deadline.
-		_ = conn.SetReadDeadline(time.Time{})
-		conn.busy.Store(true)
+		_ = b.conn.SetReadDeadline(time.Time{})
+		b.conn.busy.Store(true)
 	}
 	return nil
 }
@@ -231,7 +234,7 @@
 	case evicted:
 		return ErrMemory
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.gate.report.Refused(BodyStalled, "callers", nil)
+		b.gate.report.Refused(BodyStalled, b.conn.where(), nil)
 		return fmt.Errorf("%w: %w", ErrStalled, err)
 	}
 	return err
@@ -241,7 +244,7 @@
 func (b *Body) Charge(n int64) error { return b.charge(b.grant.bytes + n) }
 
 func (b *Body) charge(total int64) error {
-	if !b.gate.makeRoom(total-b.grant.bytes, func(time.Time) (ok, stop bool) {
+	if !b.gate.makeRoom(total-b.grant.bytes, b.conn, func(time.Time) (ok, stop bool) {
 		return b.gate.account.Grow(b.grant, total), b.grant.evicted
 	}) {
 		return ErrMemory
@@ -255,3 +258,26 @@
 	defer b.gate.mu.Unlock()
 	b.gate.account.Close(b.grant)
 }
+
+// Handler returns a handler that reads the body of each request, of at most limit bytes, before it calls
+// next, and holds factor times its length until next returns. refuse responds to a request whose body was
+// not read; next has not been called.
+func (g *Gate) Handler(limit, factor int64, next http.Handler, refuse func(http.ResponseWriter, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := g.Read(w, r, limit)
+		if err == nil {
+			defer body.Release()
+			err = body.Charge((factor - 1) * int64(len(body.Data)))
+		}
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body.Data))
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -18,29 +18,44 @@
 	acceptPause = 20 * time.Millisecond
 )
 
-// Listener bounds the number of open connections. When there are too many, it closes one without a
-// request in progress: first of those that never had one served, then of the others, the one with the
-// least recent progress. If there is none, it closes the new connection.
-type Listener struct {
-	net.Listener
-	name   string
+// ConnLimiter bounds the open connections of one or more listeners. When there are too many, it closes one
+// without a request in progress: first of those that never had one served, then of the others, the one
+// with the least recent progress. If there is none, it closes the new connection.
+type ConnLimiter struct {
 	limit  int
 	report *Report
-	// writeTimeout bounds each write to a connection.
-	writeTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 }
 
-// Listen wraps a listener. name is used in logs.
+// NewConnLimiter returns a bound of limit connections.
+func NewConnLimiter(limit int, report *Report) *ConnLimiter {
+	return &ConnLimiter{limit: limit, report: report, conns: map[*Conn]struct{}{}}
+}
+
+// Listener is a listener whose open connections are bounded.
+type Listener struct {
+	net.Listener
+	*ConnLimiter
+	name string
+	// writeTimeout bounds each write to a connection; 0 leaves that to the user of the connection.
+	writeTimeout time.Duration
+}
+
+// Listen wraps a listener with a bound of its own. name is used in logs.
 func Listen(ln net.Listener, name string, limit int, report *Report) *Listener {
-	return &Listener{
-		Listener: ln, name: name, limit: limit, report: report, writeTimeout: ProgressTimeout, conns: map[*Conn]struct{}{},
-	}
+	return NewConnLimiter(limit, report).Listen(ln, name)
+}
+
+// Listen wraps a listener, whose connections count together with those of the other ones. name is used in
+// logs.
+func (b *ConnLimiter) Listen(ln net.Listener, name string) *Listener {
+	return &Listener{Listener: ln, ConnLimiter: b, name: name, writeTimeout: ProgressTimeout}
 }
 
-// WithWriteTimeout sets the time that one write to a connection may take.
+// WithWriteTimeout sets the time that one write to a connection may take; 0 means that the user of the
+// connection sets deadlines.
 func (l *Listener) WithWriteTimeout(d time.Duration) *Listener {
 	l.writeTimeout = d
 	return l
@@ -89,15 +104,15 @@
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
 	if victim != nil {
-		l.report.Refused(ConnectionEvicted, l.name, nil)
+		l.report.Refused(ConnectionEvicted, victim.listener.name, nil)
 		_ = victim.Close()
 	}
 	return true
 }
 
-func (l *Listener) victim() *Conn {
+func (b *ConnLimiter) victim() *Conn {
 	var victim *Conn
-	for c := range l.conns {
+	for c := range b.conns {
 		if !c.busy.Load() && (victim == nil || c.before(victim)) {
 			victim = c
 		}
@@ -106,10 +121,10 @@
 }
 
 // Open returns the number of open connections.
-func (l *Listener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
+func (b *ConnLimiter) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
 }
 
 // Conn is a connection of a Listener.
@@ -122,6 +137,14 @@
 	busy, served atomic.Bool
 }
 
+// where names the listener of a connection, which may be nil, in logs.
+func (c *Conn) where() string {
+	if c == nil {
+		return "unknown"
+	}
+	return c.listener.name
+}
+
 // before reports whether c is to be closed rather than d.
 func (c *Conn) before(d *Conn) bool {
 	if c.served.Load() != d.served.Load() {
@@ -130,6 +153,9 @@
 	return c.progress.Load() < d.progress.Load()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // MarkServed records that a request or a session of the client was valid.
 func (c *Conn) MarkServed() { c.served.Store(true) }
 
@@ -152,7 +178,9 @@
 // Write implements net.Conn. It fails if the client does not read in time.
 func (c *Conn) Write(p []byte) (int, error) {
 	now := time.Now()
-	_ = c.Conn.SetWriteDeadline(now.Add(c.listener.writeTimeout))
+	if timeout := c.listener.writeTimeout; timeout > 0 {
+		_ = c.Conn.SetWriteDeadline(now.Add(timeout))
+	}
 	n, err := c.Conn.Write(p)
 	if n > 0 {
 		c.progress.Store(now.UnixNano())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,15 @@
 	SecretFile string `toml:"secret_file" validate:"required"`
 }
 
+// Limits are what a process may use of its machine. 0 means the limit of the process's environment: for
+// the memory GOMEMLIMIT, or else that of the control group or the machine; for the descriptors that of open
+// files.
+type Limits struct {
+	// MemoryMB is in units of 2^20 bytes.
+	MemoryMB       int64 `toml:"memory_mb" validate:"omitempty,gte=48"`
+	MaxDescriptors int   `toml:"max_descriptors" validate:"omitempty,gte=128"`
+}
+
 // Callers is the callers' listener of an entry.
 type Callers struct {
 	Listen string `toml:"listen" validate:"required,hostname_port"`
@@ -241,8 +250,9 @@
 
 // Standin is the settings file of a stand-in of the platform, for tests.
 type Standin struct {
-	Role Role `toml:"role" validate:"eq=standin"`
-	Log  Log  `toml:"log"`
+	Role   Role   `toml:"role" validate:"eq=standin"`
+	Log    Log    `toml:"log"`
+	Limits Limits `toml:"limits"`
 	// Listen is the address that serves the table and the objects.
 	Listen string      `toml:"listen" validate:"omitempty,hostname_port"`
 	VMs    []StandinVM `toml:"vms" validate:"dive"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,7 @@
 		{"missing", "role = \"agent\"\n", "vm: is required"},
 		{"unknown role", "role = \"king\"\n", `:1: role: value "king" is not allowed: must be one of entry, agent, standin`},
 		{"in an array of tables", "role = \"standin\"\n[[vms]]\nvm = \"a\"\nworker = \"127.0.0.1:1\"\nrunner = \"127.0.0.1:2\"\n[[vms]]\nvm = \"b\"\nworker = \"x\"\nrunner = \"127.0.0.1:2\"\n", `:8: vms[1].worker: value "x" is not allowed`},
+		{"too little memory", "role = \"standin\"\n[limits]\nmemory_mb = 8\n", ":3: limits.memory_mb: value 8 is not allowed: must be at least 48"},
 		{"syntax", "role = \n", ":1"},
 	}
 	for _, c := range cases {
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -163,6 +163,18 @@
 	return value, true
 }
 
+// RefuseBody responds to a request whose body was not read, and which had no effect.
+func RefuseBody(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		err = fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+	default:
+		err = fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	respond(w, nil, err)
+}
+
 func readBody(r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxBodyBytes+1))
 	if err != nil {
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -13,8 +13,9 @@
 type Objects struct {
 	faults *Faults
 
-	mu   sync.Mutex
-	data map[string][]byte
+	mu       sync.Mutex
+	data     map[string][]byte
+	capacity *Capacity
 }
 
 // NewObjects returns an empty Objects without faults.
@@ -23,6 +24,13 @@
 // Faults returns the fault settings of the store.
 func (o *Objects) Faults() *Faults { return o.faults }
 
+// SetCapacity bounds the bytes of the objects. A Put that exceeds it fails with platform.ErrUnavailable.
+func (o *Objects) SetCapacity(c *Capacity) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.capacity = c
+}
+
 // Len returns the number of objects.
 func (o *Objects) Len() int {
 	o.mu.Lock()
@@ -38,6 +46,14 @@
 		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		n := storedBytes(key, data)
+		growth := n
+		if old, found := o.data[key]; found {
+			growth -= storedBytes(key, old)
+		}
+		if err := o.capacity.change(growth, n); err != nil {
+			return err
+		}
 		o.data[key] = slices.Clone(data)
 		return nil
 	})
@@ -73,7 +89,10 @@
 		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		delete(o.data, key)
+		if old, found := o.data[key]; found {
+			_ = o.capacity.change(-storedBytes(key, old), 0) // never fails for less
+			delete(o.data, key)
+		}
 		return nil
 	})
 }
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -29,6 +29,7 @@
 	reads    *rate.Limiter
 	writes   *rate.Limiter
 	onCommit func(tx platform.Tx, version int64)
+	capacity *Capacity
 }
 
 // Counts are the calls that a Table has executed since its creation, and the rows and
@@ -75,6 +76,14 @@
 	t.reads, t.writes = newLimiter(readsPerSecond), newLimiter(writesPerSecond)
 }
 
+// SetCapacity bounds the bytes of the rows. A transaction that exceeds it fails with
+// platform.ErrUnavailable.
+func (t *Table) SetCapacity(c *Capacity) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.capacity = c
+}
+
 // OnCommit sets f to be called after each transaction that took effect, in commit order
 // and before any other call reads or writes the table. f must not call the table.
 func (t *Table) OnCommit(f func(tx platform.Tx, version int64)) {
@@ -227,6 +236,9 @@
 			return 0, fmt.Errorf("%w: %s is at %d, expected %d", platform.ErrConflict, c.Key, current, c.Version)
 		}
 	}
+	if err := t.capacity.change(t.growth(tx)); err != nil {
+		return 0, err
+	}
 	t.revision++
 	for _, w := range tx.Writes {
 		t.write(w)
@@ -237,6 +249,21 @@
 	return t.revision, nil
 }
 
+// growth returns how many more bytes the rows take after tx, and those of the largest row that it writes.
+// t.mu is held.
+func (t *Table) growth(tx platform.Tx) (bytes, largest int64) {
+	for _, w := range tx.Writes {
+		if row, found := t.rows[w.Key]; found {
+			bytes -= storedBytes(row.Key, row.Value)
+		}
+		if !w.Delete {
+			n := storedBytes(w.Key, w.Value)
+			bytes, largest = bytes+n, max(largest, n)
+		}
+	}
+	return bytes, largest
+}
+
 // write applies one write at the current revision; t.mu is held.
 func (t *Table) write(w platform.Write) {
 	t.counts.RowsWritten++
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -186,6 +186,7 @@
 
 // addExecution adds an execution for start, resumed at progress; w.mu is held.
 func (w *Worker) addExecution(start platform.TaskStart, progress time.Duration, now time.Time) {
+	start.Spec.Payload = nil // simulated tasks do not read it
 	behaviour, ok := w.options.Behaviours[start.Spec.Name]
 	if !ok && start.Spec.Kind == structs.KindBatch {
 		behaviour = Behaviour{Duration: time.Duration(start.Spec.DurationMS) * time.Millisecond}
--- /dev/null
+++ b/test/ingress/listeners_test.go
@@ -0,0 +1,37 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// testListeners sends crowds to listeners of a standalone deployment, in each way.
+func testListeners(t *testing.T, start func(*testing.T) *cluster, names ...string) {
+	for _, name := range names {
+		for _, w := range append(ways, silent) {
+			t.Run(name+"/"+w.name, func(t *testing.T) {
+				c := start(t)
+				c.target(name).send(t, c.crowd, w)
+				c.check()
+			})
+		}
+	}
+}
+
+// Guards against a stand-in of the platform that outgrows its machine by unfinished bodies.
+func TestIngress_Standin(t *testing.T) {
+	t.Run("processes", func(t *testing.T) { testListeners(t, startCluster, "table", "objects", "worker", "runner") })
+	t.Run("dev", func(t *testing.T) { testListeners(t, startDev, "table", "objects") })
+}
+
+// Guards against objects that take all of the memory of a stand-in.
+func TestIngress_ManyObjects(t *testing.T) {
+	c := startCluster(t)
+	object := strings.Repeat("x", bodyLimit)
+	for i := range crowd {
+		_ = request(http.MethodPut, c.target("objects").address, "/v1/objects/crowd-"+strconv.Itoa(i), object)
+	}
+	c.check()
+}
