--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -37,6 +37,7 @@
 
 // Dev is a whole deployment in one process on loopback.
 type Dev struct {
+	shared  *resources
 	standin *Standin
 	entry   *Entry
 	agents  []*Agent
@@ -47,14 +48,16 @@
 func NewDev(opts DevOptions) (*Dev, error) {
 	d := opts.Deployment
 	d.VMs, d.VMsPerRack = devVMs, devVMsPerRack
-	dev := &Dev{log: opts.Log}
+	shared := newResources(resourceOptions{
+		maxMemory: devMemory, bodyTimeout: settings.DefaultEntry().Callers.ReadTimeout.Value(),
+	}, opts.Log)
+	shared.limits = shared.limits.Halve() // of the entry, and of the stand-ins
+	dev := &Dev{log: opts.Log, shared: shared}
 	var err error
-	shared := newResources(resourceOptions{maxMemory: devMemory}, opts.Log)
-	shared.limits = shared.limits.Halve() // the other half is left to the entry
 	if dev.standin, err = newStandin(devStandin(d), opts.Log, shared); err != nil {
 		return nil, err
 	}
-	if dev.entry, err = devEntry(d, opts, dev.standin.Addr); err != nil {
+	if dev.entry, err = devEntry(d, opts, dev.standin.Addr, shared); err != nil {
 		return nil, err
 	}
 	for _, p := range d.vmLocations() {
@@ -76,7 +79,7 @@
 	return s
 }
 
-func devEntry(d Deployment, opts DevOptions, platformAddr string) (*Entry, error) {
+func devEntry(d Deployment, opts DevOptions, platformAddr string, shared *resources) (*Entry, error) {
 	cfg := settings.DefaultEntry()
 	cfg.Name, cfg.Zone = "entry-1", d.Zones[0]
 	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Agents.Listen = opts.Callers, opts.Operators, anyPort
@@ -84,7 +87,8 @@
 	cfg.Platform.Objects = cfg.Platform.Table
 	cfg.Bootstrap = d.bootstrap()
 	cfg.LeaseDuration = settings.Duration(devLease)
-	return newEntry(cfg, "", opts.Log, []operators.Token{{Name: "dev", Secret: devToken, Role: operators.RoleOperate}})
+	tokens := []operators.Token{{Name: "dev", Secret: devToken, Role: operators.RoleOperate}}
+	return newEntry(cfg, "", opts.Log, tokens, shared)
 }
 
 func devAgent(d Deployment, p vmLocation, dev *Dev) settings.Agent {
@@ -101,6 +105,9 @@
 	return a
 }
 
+// LimitProcess sets the soft memory limit of a process that runs only this deployment.
+func (d *Dev) LimitProcess() { d.shared.limitHeap() }
+
 // CallersAddr returns the address of the callers' listener.
 func (d *Dev) CallersAddr() string { return d.entry.CallersAddr() }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,7 +29,7 @@
 	cfg       settings.Entry
 	log       log.Interface
 	listeners entryListeners
-	report    *ingress.Report
+	shared    *resources
 
 	table      platform.Table
 	control    *control.Holder
@@ -57,16 +57,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return newEntry(cfg, file, logger, tokens)
+	shared := newResources(resourceOptions{
+		Limits: cfg.Limits, maxBodies: cfg.Callers.MaxBodiesBytes, maxCallers: cfg.Callers.MaxConnections,
+		bodyTimeout: cfg.Callers.ReadTimeout.Value(),
+	}, logger)
+	return newEntry(cfg, file, logger, tokens, shared)
 }
 
-func newEntry(cfg settings.Entry, file string, logger log.Interface, tokens []operators.Token) (*Entry, error) {
-	report := ingress.NewReport(logger)
-	listeners, err := openListeners(cfg, file, report)
+func newEntry(
+	cfg settings.Entry, file string, logger log.Interface, tokens []operators.Token, shared *resources,
+) (*Entry, error) {
+	listeners, err := openListeners(cfg, file, shared)
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{cfg: cfg, log: logger.WithField("entry", cfg.Name), listeners: listeners, report: report}
+	e := &Entry{cfg: cfg, log: logger.WithField("entry", cfg.Name), listeners: listeners, shared: shared}
 	e.connect(tokens)
 	return e, nil
 }
@@ -83,11 +88,11 @@
 	return result, nil
 }
 
-func openListeners(cfg settings.Entry, file string, report *ingress.Report) (l entryListeners, err error) {
+func openListeners(cfg settings.Entry, file string, shared *resources) (l entryListeners, err error) {
 	if l.callers, err = listen(cfg.Callers.Listen, cfg.Callers.TLS, file); err != nil {
 		return l, fmt.Errorf("callers: %w", err)
 	}
-	l.callers = ingress.Listen(l.callers, "callers", cfg.Callers.MaxConnections, report).
+	l.callers = ingress.Listen(l.callers, "callers", shared.limits.Callers, shared.report).
 		WithWriteTimeout(cfg.Callers.WriteTimeout.Value())
 	if l.operators, err = listen(cfg.Operators.Listen, cfg.Operators.TLS, file); err != nil {
 		return l, fmt.Errorf("operators: %w", err)
@@ -98,6 +103,9 @@
 	return l, nil
 }
 
+// LimitProcess sets the soft memory limit of a process that runs only this entry.
+func (e *Entry) LimitProcess() { e.shared.limitHeap() }
+
 // AgentsAddr returns the address that agents dial.
 func (e *Entry) AgentsAddr() string {
 	if e.cfg.Agents.Advertise != "" {
--- a/internal/daemon/entryrun.go
+++ b/internal/daemon/entryrun.go
@@ -82,8 +82,7 @@
 	e.recovery = recovery.New(recovery.Options{}, e.table, e.log)
 	e.commander = command.New(e.table, time.Now)
 	e.callers = entry.NewCallers(e.control, e.dispatcher, jobService{e.commander, e.table, e.scheduler.Wake}, entry.Limits{
-		MaxBodyBytes:      e.cfg.Callers.MaxBodyBytes,
-		Bodies:            ingress.NewGate(e.cfg.Callers.MaxBodiesBytes, e.cfg.Callers.ReadTimeout.Value(), e.report),
+		MaxBodyBytes: e.cfg.Callers.MaxBodyBytes, Bodies: e.shared.bodies,
 		RequestsPerSecond: e.cfg.Callers.RequestsPerSecond, Burst: e.cfg.Callers.Burst,
 	})
 	e.operators = operators.Handler(operators.Options{
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -26,6 +26,10 @@
 	settings.Limits
 	// maxMemory bounds the memory that the environment sets; 0 means no bound.
 	maxMemory int64
+	// maxBodies bounds all bodies in bytes, and maxCallers the connections of callers. They are cut to
+	// maxExplicitShare times the default, which applies if they are 0.
+	maxBodies  int64
+	maxCallers int
 	// bodyTimeout bounds the time in which a body must be complete; 0 means no bound besides progress.
 	bodyTimeout time.Duration
 }
@@ -36,6 +40,8 @@
 		memory = min(cmp.Or(memory, opts.maxMemory), opts.maxMemory)
 	}
 	limits := ingress.NewLimits(memory, descriptors)
+	limits.Bodies = explicitLimit(logger, "max_bodies_bytes", opts.maxBodies, limits.Bodies)
+	limits.Callers = int(explicitLimit(logger, "max_connections", int64(opts.maxCallers), int64(limits.Callers)))
 	report := ingress.NewReport(logger)
 	return &resources{
 		memory: memory, limits: limits, report: report,
@@ -43,6 +49,20 @@
 	}
 }
 
+// maxExplicitShare bounds a limit of the settings file, as a multiple of its default.
+const maxExplicitShare = 2
+
+// explicitLimit returns a limit of the settings file, or its default if it is 0. One that is too large for
+// the machine is cut, since a settings file may be moved to a smaller one.
+func explicitLimit(logger log.Interface, key string, value, byDefault int64) int64 {
+	allowed := maxExplicitShare * byDefault
+	if value <= allowed {
+		return cmp.Or(value, byDefault)
+	}
+	logger.WithFields(log.Fields{"key": key, "value": value, "in_force": allowed}).Warn("limit is too large for this machine")
+	return allowed
+}
+
 // limitHeap sets the soft limit of the heap of a process that has these resources for itself.
 func (r *resources) limitHeap() {
 	if r.memory > 0 {
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	e.LimitProcess()
 	return e.Run(ctx)
 }
 
@@ -112,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	d.LimitProcess()
 	return d.Run(ctx)
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -32,6 +32,11 @@
 // MaxKeyBytes is the maximum length of an Idempotency-Key.
 const MaxKeyBytes = 255
 
+// processingFactor is the memory, per byte of a body, of what is made of it: of a request the encoded
+// message, its copy in the session and an answer of the same size, of a job its decoded form and what is
+// sent to the table.
+const processingFactor = 7
+
 // Dispatcher executes service requests. The errors of Do are *verdict.Error.
 type Dispatcher interface {
 	Do(ctx context.Context, req structs.Request) (structs.Answer, error)
@@ -46,7 +51,7 @@
 
 // Limits bounds the resources of an entry that callers may use.
 type Limits struct {
-	// MaxBodyBytes limits one body, Bodies the sum of those in memory.
+	// MaxBodyBytes limits one body, Bodies the sum of those in memory and of what is made of them.
 	MaxBodyBytes int64
 	Bodies       *ingress.Gate
 	// RequestsPerSecond and Burst limit the rate of accepted requests.
@@ -172,10 +177,15 @@
 	return v, nil
 }
 
-// readBody reads the complete body within the limits.
+// readBody reads the complete body within the limits, and charges for what is made of it.
 func (c *Callers) readBody(ctx *echo.Context) (*ingress.Body, error) {
 	limit := c.limits.MaxBodyBytes
 	body, err := c.limits.Bodies.Read(ctx.Response(), ctx.Request(), limit)
+	if err == nil {
+		if err = body.Charge(processingFactor * int64(len(body.Data))); err != nil {
+			body.Release()
+		}
+	}
 	var maxBytesErr *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,9 +87,9 @@
 	Listen string `toml:"listen" validate:"required,hostname_port"`
 	TLS    TLS    `toml:"tls,omitempty"`
 	// MaxBodyBytes bounds one request body, MaxBodiesBytes the sum of all bodies in
-	// memory.
+	// memory, with those of operators. If MaxBodiesBytes is 0, an eighth of the process's memory bounds it.
 	MaxBodyBytes   int64 `toml:"max_body_bytes" validate:"gte=1,lte=3145728"`
-	MaxBodiesBytes int64 `toml:"max_bodies_bytes" validate:"gtefield=MaxBodyBytes"`
+	MaxBodiesBytes int64 `toml:"max_bodies_bytes" validate:"omitempty,gtefield=MaxBodyBytes"`
 	// MaxHeaderBytes bounds the request line and headers.
 	MaxHeaderBytes int `toml:"max_header_bytes" validate:"gte=1024,lte=1048576"`
 	// ReadTimeout bounds reading a request, WriteTimeout writing an answer.
@@ -98,8 +98,9 @@
 	// RequestsPerSecond and Burst limit the rate of requests that the entry accepts.
 	RequestsPerSecond float64 `toml:"requests_per_second" validate:"gt=0"`
 	Burst             int     `toml:"burst" validate:"gte=1"`
-	// MaxConnections bounds the open connections of callers.
-	MaxConnections int `toml:"max_connections" validate:"gte=1"`
+	// MaxConnections bounds the open connections of callers. If it is 0, the process's memory and
+	// descriptors bound them.
+	MaxConnections int `toml:"max_connections" validate:"gte=0"`
 }
 
 // Operators is the operators' listener of an entry.
@@ -123,6 +124,7 @@
 	Name      string    `toml:"name" validate:"required,max=63"`
 	Zone      string    `toml:"zone" validate:"required,max=63"`
 	Log       Log       `toml:"log"`
+	Limits    Limits    `toml:"limits"`
 	Callers   Callers   `toml:"callers"`
 	Operators Operators `toml:"operators"`
 	Agents    Agents    `toml:"agents"`
@@ -272,11 +274,9 @@
 	defaultReadTimeout   = 10 * time.Second
 	defaultWriteTimeout  = 10 * time.Second
 	defaultMaxBody       = 256 << 10
-	defaultMaxBodies     = 256 << 20
 	defaultMaxHeader     = 16 << 10
 	defaultRequestRate   = 20_000
 	defaultBurst         = 2_000
-	defaultConnections   = 10_000
 	defaultSlots         = 8
 	defaultUpstreamConns = 64
 	defaultGuardInterval = 2 * time.Second
@@ -290,9 +290,9 @@
 	return Entry{
 		Role: RoleEntry, Log: Log{Level: "info"},
 		Callers: Callers{
-			MaxBodyBytes: defaultMaxBody, MaxBodiesBytes: defaultMaxBodies, MaxHeaderBytes: defaultMaxHeader,
+			MaxBodyBytes: defaultMaxBody, MaxHeaderBytes: defaultMaxHeader,
 			ReadTimeout: Duration(defaultReadTimeout), WriteTimeout: Duration(defaultWriteTimeout),
-			RequestsPerSecond: defaultRequestRate, Burst: defaultBurst, MaxConnections: defaultConnections,
+			RequestsPerSecond: defaultRequestRate, Burst: defaultBurst,
 		},
 		Platform:     Platform{Timeout: Duration(defaultTimeout)},
 		DrainTimeout: Duration(defaultDrain), PollInterval: Duration(defaultPoll), LeaseDuration: Duration(defaultLease),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,14 @@
 	must.Eq(t, 64, a.Upstream.Connections)
 }
 
+// Guards against defaults that are the same on any machine.
+func TestLoadEntry_LimitsOfTheMachine(t *testing.T) {
+	e := settings.DefaultEntry()
+	must.Zero(t, e.Callers.MaxBodiesBytes)
+	must.Zero(t, e.Callers.MaxConnections)
+	must.Eq(t, settings.Limits{}, e.Limits)
+}
+
 func TestCheck_NamesLineKeyValueAndWhatIsAllowed(t *testing.T) {
 	cases := []struct {
 		name, text, want string
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -7,6 +7,12 @@
 	"testing"
 )
 
+// deployments are the standalone deployments: separate processes, and all of them in one.
+var deployments = []struct {
+	name  string
+	start func(*testing.T) *cluster
+}{{"processes", startCluster}, {"dev", startDev}}
+
 // testListeners sends crowds to listeners of a standalone deployment, in each way.
 func testListeners(t *testing.T, start func(*testing.T) *cluster, names ...string) {
 	for _, name := range names {
@@ -20,6 +26,13 @@
 	}
 }
 
+// Guards against an entry whose callers' bodies or connections outgrow its machine.
+func TestIngress_StandaloneCallers(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) { testListeners(t, d.start, "requests", "jobs") })
+	}
+}
+
 // Guards against a stand-in of the platform that outgrows its machine by unfinished bodies.
 func TestIngress_Standin(t *testing.T) {
 	t.Run("processes", func(t *testing.T) { testListeners(t, startCluster, "table", "objects", "worker", "runner") })
