--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -97,6 +97,7 @@
 	if l.operators, err = listen(cfg.Operators.Listen, cfg.Operators.TLS, file); err != nil {
 		return l, fmt.Errorf("operators: %w", err)
 	}
+	l.operators = shared.bounded(l.operators, "operators")
 	if l.agents, err = listen(cfg.Agents.Listen, cfg.Agents.TLS, file); err != nil {
 		return l, fmt.Errorf("agents: %w", err)
 	}
--- a/internal/daemon/entryrun.go
+++ b/internal/daemon/entryrun.go
@@ -86,7 +86,7 @@
 		RequestsPerSecond: e.cfg.Callers.RequestsPerSecond, Burst: e.cfg.Callers.Burst,
 	})
 	e.operators = operators.Handler(operators.Options{
-		Commander: e.commander, Queries: query.New(e.table, e, e.control), Tokens: tokens,
+		Commander: e.commander, Queries: query.New(e.table, e, e.control), Tokens: tokens, Bodies: e.shared.bodies,
 		OnChange: func() { e.config.refreshNow(); e.scheduler.Wake() }, Ready: e.ready,
 	})
 }
@@ -119,11 +119,8 @@
 func (e *Entry) Run(ctx context.Context) error {
 	var g run.Group
 	addStopSignal(&g, ctx)
-	addServer(&g, e.listeners.callers, e.callersServer(), e.cfg.DrainTimeout.Value(), e.drain)
-	addServer(&g, e.listeners.operators, &http.Server{
-		Handler: e.operators, ReadHeaderTimeout: headerTimeout, ReadTimeout: e.cfg.Callers.ReadTimeout.Value(),
-		IdleTimeout: idleTimeout, MaxHeaderBytes: e.cfg.Callers.MaxHeaderBytes,
-	}, operatorsTimeout, nil)
+	addServer(&g, e.listeners.callers, e.httpServer(e.callers), e.cfg.DrainTimeout.Value(), e.drain)
+	addServer(&g, e.listeners.operators, e.httpServer(e.operators), operatorsTimeout, nil)
 	addActor(&g, e.scheduler.Run, nil)
 	addActor(&g, e.recovery.Run, nil)
 	addActor(&g, e.resumeBulkCancels, nil)
@@ -138,10 +135,11 @@
 	return err
 }
 
-func (e *Entry) callersServer() *http.Server {
+// httpServer returns a server with the limits of the callers' settings.
+func (e *Entry) httpServer(handler http.Handler) *http.Server {
 	c := e.cfg.Callers
 	server := &http.Server{
-		Handler: e.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: c.ReadTimeout.Value(),
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: c.ReadTimeout.Value(),
 		IdleTimeout: idleTimeout, MaxHeaderBytes: c.MaxHeaderBytes,
 	}
 	ingress.Configure(server)
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"runtime/debug"
 	"time"
 
@@ -69,3 +70,8 @@
 		debug.SetMemoryLimit(heapLimit(r.memory))
 	}
 }
+
+// bounded wraps a listener for probes and metrics.
+func (r *resources) bounded(ln net.Listener, name string) net.Listener {
+	return ingress.Listen(ln, name, r.limits.Probes, r.report)
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -4,6 +4,7 @@
 package operators
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -13,6 +14,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,6 +23,7 @@
 	"github.com/labstack/echo/v5"
 
 	"bamboowood/internal/command"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/query"
 	"bamboowood/internal/statement"
 	"bamboowood/internal/verdict"
@@ -49,6 +52,8 @@
 	Commander *command.Commander
 	Queries   *query.Queries
 	Tokens    []Token
+	// Bodies admits the bodies of statements.
+	Bodies *ingress.Gate
 	// OnChange is called after a command was accepted; it may be nil.
 	OnChange func()
 	// Ready returns nil if the process is ready to serve, otherwise the reason why
@@ -60,6 +65,8 @@
 const (
 	// maxBodyBytes is enough for a statement of maximum length in escaped form.
 	maxBodyBytes = 8 * statement.MaxBytes
+	// parseFactor is the memory that parsing a statement takes, per byte of its text.
+	parseFactor = 192
 	// statementTimeout bounds the execution of one statement.
 	statementTimeout = 10 * time.Second
 )
@@ -100,6 +107,9 @@
 func writeError(w http.ResponseWriter, e *statement.Error) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_statement_refusals_total{reason=%q}", string(e.Reason))).Inc()
 	p := e.Problem()
+	if e.Reason == statement.NoMemory {
+		w.Header().Set("Retry-After", strconv.Itoa(int(ingress.RetryAfter.Seconds())))
+	}
 	if p.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", `Bearer realm="bamboowood"`)
 	}
@@ -142,10 +152,18 @@
 	if err != nil {
 		return err
 	}
-	request, err := readRequest(c.Response(), r)
+	body, err := h.readBody(c.Response(), r)
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	request, err := decodeRequest(body.Data)
 	if err != nil {
 		return err
 	}
+	if err := body.Charge(parseFactor * int64(min(len(request.Statement), statement.MaxBytes))); err != nil {
+		return noMemory(err)
+	}
 	s, err := statement.Parse(request.Statement)
 	if err != nil {
 		return err
@@ -228,11 +246,30 @@
 	return Token{}, statement.Refuse(statement.Unauthorized, "the bearer token is not known; nothing was done")
 }
 
-// readRequest reads one JSON object. It rejects unknown fields, because a misspelt
+// readBody reads the body of a request, which must be released.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request) (*ingress.Body, error) {
+	body, err := h.Bodies.Read(w, r, maxBodyBytes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, statement.Refuse(statement.TooLarge, "the body is larger than %d bytes; nothing was done", maxBodyBytes)
+	case errors.Is(err, ingress.ErrMemory):
+		return nil, noMemory(err)
+	}
+	return nil, statement.Refuse(statement.BodyIncomplete, "the body was not received: %v; nothing was done", err)
+}
+
+func noMemory(err error) error {
+	return statement.Refuse(statement.NoMemory, "%v; nothing was done", err)
+}
+
+// decodeRequest decodes one JSON object. It rejects unknown fields, because a misspelt
 // dry_run must not execute a command.
-func readRequest(w http.ResponseWriter, r *http.Request) (statement.Request, error) {
+func decodeRequest(data []byte) (statement.Request, error) {
 	var request statement.Request
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&request)
 	if err == nil {
@@ -243,9 +280,5 @@
 			err = errors.New("there is more after the first object")
 		}
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return request, statement.Refuse(statement.TooLarge, "the body is larger than %d bytes; nothing was done", maxBodyBytes)
-	}
 	return request, statement.Refuse(statement.BadRequest, "the body is not one JSON object with a statement: %v; nothing was done", err)
 }
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -17,6 +17,7 @@
 	"bamboowood/internal/client"
 	"bamboowood/internal/command"
 	"bamboowood/internal/control"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/operators"
 	"bamboowood/internal/platform"
 	"bamboowood/internal/query"
@@ -34,12 +35,13 @@
 type fixture struct {
 	table   *standin.Table
 	handler http.Handler
+	bodies  *ingress.Gate
 	changes int
 	ready   error
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{table: standin.NewTable()}
+	f := &fixture{table: standin.NewTable(), bodies: ingress.NewGate(8<<20, 0, nil)}
 	f.handler = f.handlerOn(f.table)
 	must.NoError(t, command.New(f.table, time.Now).Bootstrap(t.Context(), structs.Config{
 		Services: map[string]structs.Service{"glint-check": {Name: "glint-check", WaitMS: 200}},
@@ -57,6 +59,7 @@
 			{Name: "rita", Secret: "s-read", Role: operators.RoleRead},
 			{Name: "empty", Secret: "", Role: operators.RoleOperate},
 		},
+		Bodies:   f.bodies,
 		OnChange: func() { f.changes++ },
 		Ready:    func() error { return f.ready },
 	})
@@ -70,6 +73,45 @@
 	return string(data)
 }
 
+// truncatedBody is the reader of a body that ends before its declared length.
+type truncatedBody struct{}
+
+func (truncatedBody) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against statements that are read or parsed without an account of their memory, and against
+// refusals that do not say when to retry.
+func TestStatements_Memory(t *testing.T) {
+	const text = `{"statement": "set service glint-check wait = 1s"}`
+	for _, c := range []struct {
+		name   string
+		memory int64
+		body   io.Reader
+		status int
+		reason statement.Reason
+	}{
+		{"no memory for the body", 100, strings.NewReader(text), 503, statement.NoMemory},
+		{"no memory for parsing", 2000, strings.NewReader(text), 503, statement.NoMemory},
+		{"truncated", 1 << 20, truncatedBody{}, 408, statement.BodyIncomplete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.bodies = ingress.NewGate(c.memory, 0, nil)
+			before := f.dumpTable(t)
+			r := httptest.NewRequest(http.MethodPost, "/v1/statements", c.body)
+			r.Header.Set("Authorization", "Bearer s-operate")
+			w := httptest.NewRecorder()
+			f.handlerOn(f.table).ServeHTTP(w, r)
+			must.Eq(t, c.status, w.Code)
+			must.Eq(t, c.status == 503, w.Header().Get("Retry-After") != "")
+			var p statement.Problem
+			must.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
+			must.Eq(t, c.reason, p.Reason)
+			must.Eq(t, "not-run", p.Outcome)
+			must.Eq(t, before, f.dumpTable(t))
+		})
+	}
+}
+
 func send(h http.Handler, method, path, token, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	if token != "" {
--- a/internal/statement/message.go
+++ b/internal/statement/message.go
@@ -81,6 +81,8 @@
 	Forbidden        Reason = "forbidden"
 	BadRequest       Reason = "bad-request"
 	TooLarge         Reason = "too-large"
+	NoMemory         Reason = "bodies-full"
+	BodyIncomplete   Reason = "body-incomplete"
 	NoRoute          Reason = "no-such-route"
 	NoMethod         Reason = "no-such-method"
 	Internal         Reason = "internal"
@@ -144,7 +146,8 @@
 	IDReused: http.StatusConflict, NotUndoable: http.StatusConflict, AlreadyFinished: http.StatusConflict,
 	TableUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusGatewayTimeout,
 	Unauthorized: http.StatusUnauthorized, Forbidden: http.StatusForbidden,
-	TooLarge: http.StatusRequestEntityTooLarge, NoRoute: http.StatusNotFound, NoMethod: http.StatusMethodNotAllowed, Internal: http.StatusInternalServerError,
+	TooLarge: http.StatusRequestEntityTooLarge, NoMemory: http.StatusServiceUnavailable,
+	BodyIncomplete: http.StatusRequestTimeout, NoRoute: http.StatusNotFound, NoMethod: http.StatusMethodNotAllowed, Internal: http.StatusInternalServerError,
 }
 
 // Problem returns e as an RFC 9457 problem.
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// Guards against an entry whose operators' bodies, or connections without a token, outgrow its machine.
+func TestIngress_StandaloneOperators(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			testListeners(t, d.start, "operators", "operators without a token", "operators' metrics")
+		})
+	}
+}
+
 // Guards against a stand-in of the platform that outgrows its machine by unfinished bodies.
 func TestIngress_Standin(t *testing.T) {
 	t.Run("processes", func(t *testing.T) { testListeners(t, startCluster, "table", "objects", "worker", "runner") })
