--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -101,6 +101,8 @@
 	if l.agents, err = listen(cfg.Agents.Listen, cfg.Agents.TLS, file); err != nil {
 		return l, fmt.Errorf("agents: %w", err)
 	}
+	// The sessions set the deadlines of their writes.
+	l.agents = ingress.Listen(l.agents, "agents", shared.limits.Peers, shared.report).WithWriteTimeout(0)
 	return l, nil
 }
 
--- a/internal/daemon/entryrun.go
+++ b/internal/daemon/entryrun.go
@@ -24,6 +24,7 @@
 	"bamboowood/internal/scheduler"
 	"bamboowood/internal/state"
 	"bamboowood/internal/structs"
+	"bamboowood/internal/wire"
 )
 
 const (
@@ -73,6 +74,7 @@
 	e.config = newConfigLoop(e.table, e.control, e.cfg.PollInterval.Value(), func() { e.link.PublishConfig() }, e.log)
 	e.link = link.NewEntry(link.EntryOptions{
 		Address: e.AgentsAddr(), Zone: e.cfg.Zone, Entries: e.peers.entryAddresses, Holder: e.control, Table: e.table,
+		Bounds:       wire.Bounds{Pool: e.shared.messages, Report: e.shared.report},
 		OnSnapshot:   func(s *routing.Snapshot) { e.dispatcher.SetSnapshot(s) },
 		OnTasksEnded: func(vm string) { e.scheduler.VMChanged(vm) },
 		OnLoadReport: func(vm, service string, load structs.Load) { e.dispatcher.RecordLoad(vm, service, load) },
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -19,7 +19,9 @@
 	limits ingress.Limits
 	// bodies is the one account of what the clients of all HTTP listeners have sent.
 	bodies *ingress.Gate
-	report *ingress.Report
+	// messages is the account of what the peers of all sessions have sent.
+	messages *ingress.Pool
+	report   *ingress.Report
 }
 
 // resourceOptions configure newResources.
@@ -46,7 +48,8 @@
 	report := ingress.NewReport(logger)
 	return &resources{
 		memory: memory, limits: limits, report: report,
-		bodies: ingress.NewGate(limits.Bodies, opts.bodyTimeout, report),
+		bodies:   ingress.NewGate(limits.Bodies, opts.bodyTimeout, report),
+		messages: ingress.NewPool(limits.Messages),
 	}
 }
 
--- a/internal/link/entry.go
+++ b/internal/link/entry.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"bamboowood/internal/control"
 	"bamboowood/internal/exchange"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/membership"
 	"bamboowood/internal/platform"
 	"bamboowood/internal/routing"
@@ -48,6 +50,8 @@
 	Table platform.Table
 	// Exchange holds the timeouts of requests.
 	Exchange exchange.ClientOptions
+	// Bounds limit the sessions that Serve accepts.
+	Bounds wire.Bounds
 }
 
 // Entry holds an entry's sessions with all agents. Its methods are safe for concurrent use.
@@ -115,7 +119,7 @@
 }
 
 func (e *Entry) serveConn(ctx context.Context, conn net.Conn) {
-	if secure, ok := conn.(*tls.Conn); ok {
+	if secure := tlsConn(conn); secure != nil {
 		handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 		err := secure.HandshakeContext(handshakeCtx)
 		cancel()
@@ -125,21 +129,43 @@
 			return
 		}
 	}
-	session, err := wire.NewServerSession(conn)
+	session, err := wire.NewBoundedServerSession(conn, e.opts.Bounds)
 	if err != nil {
 		log.WithError(err).Warn("session setup failed")
 		return
 	}
-	if err := e.ServeSession(ctx, session); err != nil && ctx.Err() == nil {
+	if err := e.serveSession(ctx, session, func() { ingress.MarkServed(conn) }); err != nil && ctx.Err() == nil {
 		log.WithError(err).WithField("remote", session.RemoteAddr()).Info("session ended")
 	}
 }
 
+// tlsConn returns the TLS connection that conn is or wraps, or nil.
+func tlsConn(conn net.Conn) *tls.Conn {
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		if _, secure := conn.(*tls.Conn); !secure {
+			conn = wrapper.NetConn()
+		}
+	}
+	secure, _ := conn.(*tls.Conn)
+	return secure
+}
+
+// maxStateBytes bounds an announcement and a heartbeat, whose content an entry keeps.
+const maxStateBytes = 64 << 10
+
+// errStateTooLarge means that an announcement or a heartbeat exceeds maxStateBytes.
+var errStateTooLarge = errors.New("state of the agent is too large")
+
 // errNotAnnounced means that a session did not begin with an announcement.
 var errNotAnnounced = errors.New("session did not begin with an announcement")
 
 // ServeSession serves one agent's session until the session or ctx ends, and closes it.
 func (e *Entry) ServeSession(ctx context.Context, session wire.Session) error {
+	return e.serveSession(ctx, session, func() {})
+}
+
+// serveSession implements ServeSession. It calls announced once the agent has been accepted.
+func (e *Entry) serveSession(ctx context.Context, session wire.Session, announced func()) error {
 	defer session.Close()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
@@ -158,6 +184,7 @@
 		return err
 	}
 	defer e.remove(s)
+	announced()
 	return s.run(ctx)
 }
 
@@ -177,6 +204,9 @@
 	if announce == nil {
 		return nil, nil, errNotAnnounced
 	}
+	if n := proto.Size(announce); n > maxStateBytes {
+		return nil, nil, fmt.Errorf("%w: %d bytes", errStateTooLarge, n)
+	}
 	return stream, announce, stream.SetDeadline(time.Time{})
 }
 
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"bamboowood/internal/control"
 	"bamboowood/internal/exchange"
@@ -123,6 +124,9 @@
 		if err := s.controlStream.Recv(heartbeat); err != nil {
 			return fmt.Errorf("receive heartbeat from %s: %w", s.vm, err)
 		}
+		if n := proto.Size(heartbeat); n > maxStateBytes {
+			return fmt.Errorf("%w: heartbeat of %s with %d bytes", errStateTooLarge, s.vm, n)
+		}
 		if err := s.handleHeartbeat(heartbeat); err != nil {
 			return err
 		}
--- a/internal/link/tcp_test.go
+++ b/internal/link/tcp_test.go
@@ -15,6 +15,7 @@
 	"bamboowood/internal/routing"
 	"bamboowood/internal/structs"
 	"bamboowood/internal/wire"
+	"bamboowood/internal/wire/wirepb"
 )
 
 // traffic counts the bytes of an agent's connections in both directions and its writes.
@@ -97,6 +98,24 @@
 	}
 }
 
+// Guards against a client of the agents' port that makes an entry keep a large announcement.
+func TestLink_AnnouncementTooLarge(t *testing.T) {
+	entry, addr, _ := startTCPEntry(t, control.NewHolder())
+	session, err := wire.Dial(t.Context(), addr, nil)
+	must.NoError(t, err)
+	defer func() { _ = session.Close() }()
+	stream, err := session.Open(t.Context())
+	must.NoError(t, err)
+	announce := &wirepb.Announce{Vm: "v1", Zone: "centro", Incarnation: 1, Services: []string{string(make([]byte, 100<<10))}}
+	must.NoError(t, stream.Send(&wirepb.Hello{Kind: &wirepb.Hello_Announce{Announce: announce}}))
+	select {
+	case <-session.Done():
+	case <-time.After(30 * time.Second):
+		t.Fatal("session goes on")
+	}
+	must.Zero(t, entry.Sessions())
+}
+
 // maxControlBytes is the most control traffic of a node, in bytes per second.
 const maxControlBytes = 4 << 10
 
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // deployments are the standalone deployments: separate processes, and all of them in one.
@@ -42,6 +44,35 @@
 	}
 }
 
+// Guards against an entry that ends or runs out of descriptors by clients of the agents' listener.
+func TestIngress_StandaloneAgents(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) { testListeners(t, d.start, "agents") })
+	}
+}
+
+// Guards against an entry that accepts no agents any more once it has run out of descriptors.
+func TestIngress_AgentAfterCrowd(t *testing.T) {
+	c := startCluster(t)
+	c.target("agents").send(t, c.crowd, silent)
+	c.check()
+	c.replaceAgent()
+	c.check()
+}
+
+// Guards against a client of the agents' listener that takes all of the entry's memory by messages
+// without their end.
+func TestIngress_StandaloneUnfinishedMessages(t *testing.T) {
+	data := append(protowire.AppendVarint(nil, 4<<20-1), make([]byte, 250<<10)...)
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			c := d.start(t)
+			sendStreams(t, c.target("agents").address, 4, 200, func(int) []byte { return data })
+			c.check()
+		})
+	}
+}
+
 // Guards against a stand-in of the platform that outgrows its machine by unfinished bodies.
 func TestIngress_Standin(t *testing.T) {
 	t.Run("processes", func(t *testing.T) { testListeners(t, startCluster, "table", "objects", "worker", "runner") })
--- a/test/ingress/standalone_test.go
+++ b/test/ingress/standalone_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 // Ports of the standalone processes, all at processIP.
@@ -71,6 +72,8 @@
 	targets []target
 	// crowd is the number of clients of a crowd.
 	crowd int
+	// agentSettings is the settings file of the agent.
+	agentSettings string
 }
 
 // startCluster starts an entry, an agent and a stand-in of the platform.
@@ -140,6 +143,7 @@
 	for _, role := range []struct{ name, settings string }{{"standin", standin}, {"entry", entry}, {"agent", agent}} {
 		c.processes = append(c.processes, run(t, role.name, standaloneBounds, role.name, role.settings))
 	}
+	c.agentSettings = agent
 	c.waitUntilReady()
 	c.addEntryTargets(address(entryAgentsPort))
 	c.targets = append(c.targets, target{"admin", address(agentAdminPort), post("POST", "/metrics"), pad("{}", bodyLimit)})
@@ -238,6 +242,15 @@
 	return request(http.MethodPost, c.operators, "/v1/statements", `{"statement":"show zones"}`, "Authorization", "Bearer "+operatorToken)
 }
 
+// replaceAgent ends the agent, and starts another one.
+func (c *cluster) replaceAgent() {
+	last := len(c.processes) - 1
+	old := c.processes[last]
+	must.NoError(c.t, old.cmd.Process.Kill())
+	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(old.ended.Load), wait.Timeout(patience)))
+	c.processes[last] = run(c.t, "agent", standaloneBounds, "agent", c.agentSettings)
+}
+
 // check checks all processes after a crowd, which is still connected.
 func (c *cluster) check() {
 	for range ordinaryRequests {
