--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -62,6 +62,8 @@
 		if a.admin, err = net.Listen("tcp", cfg.Admin); err != nil {
 			return nil, fmt.Errorf("admin: %w", err)
 		}
+		shared := newResources(resourceOptions{Limits: settings.Limits{MemoryMB: cfg.MemoryLimitMB}}, a.log)
+		a.admin = shared.bounded(a.admin, "admin")
 	}
 	timeout := cfg.Platform.Timeout.Value()
 	table := platform.NewTableClient(cfg.Platform.Table, platformClient(netcount.Platform, timeout, agentPlatformConns))
@@ -106,8 +108,7 @@
 	var g run.Group
 	addStopSignal(&g, ctx)
 	if a.admin != nil {
-		server := &http.Server{Handler: adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		addServer(&g, a.admin, server, time.Second, nil)
+		addServer(&g, a.admin, adminServer(), time.Second, nil)
 	}
 	// Actors are interrupted in this order, so that shutdown runs while the link and the
 	// executor still do.
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// Guards against an agent that runs out of descriptors by clients of its metrics.
+func TestIngress_StandaloneAdmin(t *testing.T) { testListeners(t, startCluster, "admin") }
+
 // Guards against a stand-in of the platform that outgrows its machine by unfinished bodies.
 func TestIngress_Standin(t *testing.T) {
 	t.Run("processes", func(t *testing.T) { testListeners(t, startCluster, "table", "objects", "worker", "runner") })
