--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
+	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
@@ -91,3 +94,43 @@
 	}
 	c.check()
 }
+
+// Guards against listeners that are each within their limits and together are not.
+func TestIngress_StandaloneTogether(t *testing.T) {
+	for _, d := range deployments {
+		for shift, w := range ways {
+			t.Run(d.name+"/"+w.name, func(t *testing.T) {
+				c := d.start(t)
+				var wg sync.WaitGroup
+				for k, to := range c.targets {
+					wg.Go(func() { to.send(t, crowdEach, ways[(shift+k)%len(ways)]) })
+				}
+				wg.Wait()
+				c.check()
+			})
+		}
+	}
+}
+
+// Guards against limits so low that the largest legal request is refused in calm.
+func TestIngress_LargestRequests(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			c := d.start(t)
+			requestBody, err := response(http.MethodPost, c.callers, "/v1/services/glint-check/requests", string(pad("{}", bodyLimit)))
+			must.NoError(t, err)
+			must.Greater(t, bodyLimit, len(requestBody))
+			must.NoError(t, request(http.MethodPost, c.callers, "/v1/jobs", string(largestJob)))
+			must.NoError(t, request(http.MethodPost, c.operators, "/v1/statements", string(largestStatement), "Authorization", "Bearer "+operatorToken))
+			const longStatement = 16_000
+			text := "show tasks where id = 1" + strings.Repeat(" and id = 1", longStatement/len(" and id = 1")-3)
+			body, err := json.Marshal(map[string]string{"statement": text})
+			must.NoError(t, err)
+			must.NoError(t, request(http.MethodPost, c.operators, "/v1/statements", string(body), "Authorization", "Bearer "+operatorToken))
+		})
+	}
+	t.Run("platform", func(t *testing.T) {
+		start(t, "entry")
+		must.NoError(t, request(http.MethodPost, callers, "/x/00000000000000ab", string(pad(ordinaryJob, bodyLimit))))
+	})
+}
--- a/test/ingress/standalone_test.go
+++ b/test/ingress/standalone_test.go
@@ -262,3 +262,4 @@
 		p.checkBounds()
 	}
 }
+
