--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -102,7 +102,7 @@
 		return l, fmt.Errorf("agents: %w", err)
 	}
 	// The sessions set the deadlines of their writes.
-	l.agents = ingress.Listen(l.agents, "agents", shared.limits.Peers, shared.report).WithWriteTimeout(0)
+	l.agents = ingress.Listen(l.agents, "agents", shared.limits.Agents, shared.report).WithWriteTimeout(0)
 	return l, nil
 }
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -24,6 +24,8 @@
 	// sessions between processes, and of each other listener. Of 128 descriptors or
 	// more they leave a quarter to connections that the process itself opens.
 	Callers, Peers, Probes int
+	// Agents bounds the connections of an entry's listener for agents, each of which keeps one.
+	Agents int
 	// Bodies, Messages and Jobs bound the bytes of clients' requests at all HTTP listeners, of peers'
 	// messages that are being received, and of the planner's jobs.
 	Bodies, Messages, Jobs int64
@@ -34,7 +36,7 @@
 // Halve returns the limits with half of the connections, for one of two parts of a process. The bounds of
 // bytes are not changed.
 func (l Limits) Halve() Limits {
-	l.Callers, l.Peers, l.Probes = l.Callers/2, l.Peers/2, l.Probes/2
+	l.Callers, l.Peers, l.Probes, l.Agents = l.Callers/2, l.Peers/2, l.Probes/2, l.Agents/2
 	return l
 }
 
@@ -52,6 +54,7 @@
 		Callers: max(min(descriptors/2, perEighth), 16),
 		Peers:   max(min(descriptors/8, perEighth/2), 8),
 		Probes:  max(min(descriptors/32, maxProbes), 8),
+		Agents:  max(min(descriptors/4, perEighth), 8),
 		Bodies:  max(memory/8, minBodies), Messages: max(memory/16, minPeers), Jobs: memory / 4, Stored: memory / 8,
 	}
 }
