--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -16,6 +16,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -75,11 +76,13 @@
 
 type handler struct {
 	Options
+	// parsing serializes the parsing of statements: the memory that it discards is not in the account.
+	parsing sync.Mutex
 }
 
 // Handler returns the handler of the operators' HTTP API.
 func Handler(opts Options) http.Handler {
-	h := &handler{opts}
+	h := &handler{Options: opts}
 	e := echo.New()
 	e.HTTPErrorHandler = func(c *echo.Context, err error) { writeError(c.Response(), routeError(err)) }
 	e.POST("/v1/statements", h.statements)
@@ -164,7 +167,7 @@
 	if err := body.Charge(parseFactor * int64(min(len(request.Statement), statement.MaxBytes))); err != nil {
 		return noMemory(err)
 	}
-	s, err := statement.Parse(request.Statement)
+	s, err := h.parse(request.Statement)
 	if err != nil {
 		return err
 	}
@@ -184,6 +187,12 @@
 	return nil
 }
 
+func (h *handler) parse(text string) (*statement.Statement, error) {
+	h.parsing.Lock()
+	defer h.parsing.Unlock()
+	return statement.Parse(text)
+}
+
 // run executes a statement. After a panic the outcome is MayHaveRun, because the
 // command may have taken effect.
 func (h *handler) run(ctx context.Context, s *statement.Statement, request statement.Request, author string) (result statement.Result, err error) {
--- a/test/ingress/crowd_test.go
+++ b/test/ingress/crowd_test.go
@@ -25,6 +25,8 @@
 	pieces int
 	// whole makes all clients, instead of one of wholeEvery, send their whole body.
 	whole bool
+	// raw returns what a client sends if that is no body. head is the start of its request.
+	raw func(head string) string
 }
 
 var ways = []way{
@@ -37,7 +39,19 @@
 }
 
 // silent are clients that send only the first byte of a request.
-var silent = way{name: "silent"}
+var silent = way{name: "silent", raw: func(string) string { return "G" }}
+
+// otherWays are ways without bodies of legal size.
+var otherWays = []way{
+	{name: "unfinished headers", raw: func(head string) string { return head + "X: " + strings.Repeat("x", 900<<10) }},
+	{name: "query string", raw: func(string) string { return "GET /?" + strings.Repeat("x", 900<<10) }},
+	{name: "unread responses", raw: func(head string) string {
+		return strings.Repeat(head+"Content-Length: 2\r\n\r\n{}", 2000)
+	}},
+	{name: "trailer without an end", raw: func(head string) string {
+		return head + "Transfer-Encoding: chunked\r\n\r\n2;x=" + strings.Repeat("x", 2000) + "\r\n{}\r\n0\r\nX: "
+	}},
+}
 
 // target is where the clients of a crowd send their requests.
 type target struct {
@@ -104,8 +118,8 @@
 
 // send sends a crowd of n clients, whose connections stay open until the test ends.
 func (c target) send(t *testing.T, n int, w way) {
-	if w == silent {
-		sendAll(t, c.address, n, func(int) [][]byte { return [][]byte{[]byte("G")} })
+	if w.raw != nil {
+		sendAll(t, c.address, n, func(i int) [][]byte { return [][]byte{[]byte(w.raw(c.head(i)))} })
 		return
 	}
 	headers, whole, unfinished := w.messages(c.body)
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -18,10 +18,14 @@
 	start func(*testing.T) *cluster
 }{{"processes", startCluster}, {"dev", startDev}}
 
-// testListeners sends crowds to listeners of a standalone deployment, in each way.
+// testListeners sends crowds to listeners of a standalone deployment, in each way and silent ones.
 func testListeners(t *testing.T, start func(*testing.T) *cluster, names ...string) {
+	testWays(t, start, append(ways, silent), names...)
+}
+
+func testWays(t *testing.T, start func(*testing.T) *cluster, ways []way, names ...string) {
 	for _, name := range names {
-		for _, w := range append(ways, silent) {
+		for _, w := range ways {
 			t.Run(name+"/"+w.name, func(t *testing.T) {
 				c := start(t)
 				c.target(name).send(t, c.crowd, w)
@@ -95,6 +99,12 @@
 	c.check()
 }
 
+// Guards against clients that take the memory or the descriptors of a standalone process without a body.
+func TestIngress_StandaloneOtherWays(t *testing.T) {
+	t.Run("processes", func(t *testing.T) { testWays(t, startCluster, otherWays, "requests", "operators", "admin", "table") })
+	t.Run("dev", func(t *testing.T) { testWays(t, startDev, otherWays, "requests", "operators", "table") })
+}
+
 // Guards against listeners that are each within their limits and together are not.
 func TestIngress_StandaloneTogether(t *testing.T) {
 	for _, d := range deployments {
--- a/test/ingress/standalone_test.go
+++ b/test/ingress/standalone_test.go
@@ -262,4 +262,3 @@
 		p.checkBounds()
 	}
 }
-
