--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -19,6 +19,7 @@
 	"bamboowood/internal/exchange"
 	"bamboowood/internal/executor"
 	"bamboowood/internal/guard"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/link"
 	"bamboowood/internal/netcount"
 	"bamboowood/internal/platform"
@@ -108,7 +109,9 @@
 	var g run.Group
 	addStopSignal(&g, ctx)
 	if a.admin != nil {
-		addServer(&g, a.admin, adminServer(), time.Second, nil)
+		server := &http.Server{Handler: adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		ingress.Configure(server)
+		addServer(&g, a.admin, server, time.Second, nil)
 	}
 	// Actors are interrupted in this order, so that shutdown runs while the link and the
 	// executor still do.
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -75,13 +74,6 @@
 	}
 }
 
-// adminServer returns the server of an agent's metrics, whose listener must be bounded.
-func adminServer() *http.Server {
-	server := &http.Server{Handler: adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	ingress.Configure(server)
-	return server
-}
-
 // bounded wraps a listener for probes and metrics.
 func (r *resources) bounded(ln net.Listener, name string) net.Listener {
 	return ingress.Listen(ln, name, r.limits.Probes, r.report)
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -206,3 +207,39 @@
 func (discardResponse) Header() http.Header         { return http.Header{} }
 func (discardResponse) Write(p []byte) (int, error) { return len(p), nil }
 func (discardResponse) WriteHeader(int)             {}
+
+// Guards against a body that is passed on without an account, or stays in it.
+func TestGate_Handler(t *testing.T) {
+	const limit = 4 << 10
+	gate := NewGate(16<<10, 0, nil)
+	calls := 0
+	h := gate.Handler(limit, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		data, err := io.ReadAll(r.Body)
+		must.NoError(t, err)
+		_, _ = fmt.Fprint(w, len(data), " ", gate.account.used)
+	}), func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusServiceUnavailable) })
+	send := func(body io.Reader) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", body))
+		return w
+	}
+	test.Eq(t, fmt.Sprint("3 ", 2*3+grantOverhead), send(strings.NewReader("eye")).Body.String())
+	test.Eq(t, fmt.Sprint("0 ", 0), send(nil).Body.String())
+	must.Eq(t, 2, calls)
+	test.Eq(t, http.StatusServiceUnavailable, send(strings.NewReader(strings.Repeat("x", limit+1))).Code)
+	test.Eq(t, http.StatusServiceUnavailable, send(io.MultiReader(strings.NewReader("x"), brokenReader{})).Code)
+
+	held, err := gate.read(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", limit))), limit)
+	must.NoError(t, err)
+	must.NoError(t, held.Charge(10<<10))
+	test.Eq(t, http.StatusServiceUnavailable, send(strings.NewReader(strings.Repeat("x", limit))).Code)
+	held.Release()
+	test.Eq(t, http.StatusOK, send(strings.NewReader(strings.Repeat("x", limit))).Code)
+	must.Eq(t, 3, calls)
+	must.Zero(t, gate.account.used)
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -24,7 +24,8 @@
 	// sessions between processes, and of each other listener. Of 128 descriptors or
 	// more they leave a quarter to connections that the process itself opens.
 	Callers, Peers, Probes int
-	// Agents bounds the connections of an entry's listener for agents, each of which keeps one.
+	// Agents bounds, in place of Peers, the connections of a standalone entry's listener for agents. A fifth
+	// of the descriptors is then left.
 	Agents int
 	// Bodies, Messages and Jobs bound the bytes of clients' requests at all HTTP listeners, of peers'
 	// messages that are being received, and of the planner's jobs.
--- a/test/ingress/crowd_test.go
+++ b/test/ingress/crowd_test.go
@@ -61,8 +61,8 @@
 	body []byte
 }
 
-// post returns the head of a request; path may have a verb for the number of the client.
-func post(method, path string, headers ...string) func(i int) string {
+// requestTo returns the head of a request; path may have a verb for the number of the client.
+func requestTo(method, path string, headers ...string) func(i int) string {
 	return func(i int) string {
 		if strings.Contains(path, "%") {
 			path := fmt.Sprintf(path, i)
@@ -141,13 +141,13 @@
 		role string
 		target
 	}{
-		{"entry", target{"callers", callers, post("POST", "/x/%016x"), body}},
-		{"entry", target{"readiness", readiness, post("POST", "/"), body}},
-		{"entry", target{"metrics", metrics, post("POST", "/metrics"), body}},
-		{"entry", target{"peers", peers, post("POST", "/"), body}},
-		{"agent", target{"reports", reports, post("PUT", "/instances/i%d"), report}},
-		{"agent", target{"metrics", metrics, post("POST", "/metrics"), body}},
-		{"agent", target{"peers", peers, post("POST", "/"), body}},
+		{"entry", target{"callers", callers, requestTo("POST", "/x/%016x"), body}},
+		{"entry", target{"readiness", readiness, requestTo("POST", "/"), body}},
+		{"entry", target{"metrics", metrics, requestTo("POST", "/metrics"), body}},
+		{"entry", target{"peers", peers, requestTo("POST", "/"), body}},
+		{"agent", target{"reports", reports, requestTo("PUT", "/instances/i%d"), report}},
+		{"agent", target{"metrics", metrics, requestTo("POST", "/metrics"), body}},
+		{"agent", target{"peers", peers, requestTo("POST", "/"), body}},
 	} {
 		for _, w := range ways {
 			t.Run(c.role+"/"+c.name+"/"+w.name, func(t *testing.T) {
--- a/test/ingress/listeners_test.go
+++ b/test/ingress/listeners_test.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// deployments are the standalone deployments: separate processes, and all of them in one.
-var deployments = []struct {
+// standaloneDeployments are the standalone deployments: separate processes, and all of them in one.
+var standaloneDeployments = []struct {
 	name  string
 	start func(*testing.T) *cluster
 }{{"processes", startCluster}, {"dev", startDev}}
@@ -37,14 +37,14 @@
 
 // Guards against an entry whose callers' bodies or connections outgrow its machine.
 func TestIngress_StandaloneCallers(t *testing.T) {
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		t.Run(d.name, func(t *testing.T) { testListeners(t, d.start, "requests", "jobs") })
 	}
 }
 
 // Guards against an entry whose operators' bodies, or connections without a token, outgrow its machine.
 func TestIngress_StandaloneOperators(t *testing.T) {
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		t.Run(d.name, func(t *testing.T) {
 			testListeners(t, d.start, "operators", "operators without a token", "operators' metrics")
 		})
@@ -53,7 +53,7 @@
 
 // Guards against an entry that ends or runs out of descriptors by clients of the agents' listener.
 func TestIngress_StandaloneAgents(t *testing.T) {
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		t.Run(d.name, func(t *testing.T) { testListeners(t, d.start, "agents") })
 	}
 }
@@ -71,7 +71,7 @@
 // without their end.
 func TestIngress_StandaloneUnfinishedMessages(t *testing.T) {
 	data := append(protowire.AppendVarint(nil, 4<<20-1), make([]byte, 250<<10)...)
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		t.Run(d.name, func(t *testing.T) {
 			c := d.start(t)
 			sendStreams(t, c.target("agents").address, 4, 200, func(int) []byte { return data })
@@ -107,7 +107,7 @@
 
 // Guards against listeners that are each within their limits and together are not.
 func TestIngress_StandaloneTogether(t *testing.T) {
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		for shift, w := range ways {
 			t.Run(d.name+"/"+w.name, func(t *testing.T) {
 				c := d.start(t)
@@ -124,7 +124,7 @@
 
 // Guards against limits so low that the largest legal request is refused in calm.
 func TestIngress_LargestRequests(t *testing.T) {
-	for _, d := range deployments {
+	for _, d := range standaloneDeployments {
 		t.Run(d.name, func(t *testing.T) {
 			c := d.start(t)
 			requestBody, err := response(http.MethodPost, c.callers, "/v1/services/glint-check/requests", string(pad("{}", bodyLimit)))
--- a/test/ingress/standalone_test.go
+++ b/test/ingress/standalone_test.go
@@ -146,7 +146,7 @@
 	c.agentSettings = agent
 	c.waitUntilReady()
 	c.addEntryTargets(address(entryAgentsPort))
-	c.targets = append(c.targets, target{"admin", address(agentAdminPort), post("POST", "/metrics"), pad("{}", bodyLimit)})
+	c.targets = append(c.targets, target{"admin", address(agentAdminPort), requestTo("POST", "/metrics"), pad("{}", bodyLimit)})
 	c.addPlatformTargets(address(standinTablePort))
 	c.addVMTargets(address(standinWorkerPort), address(standinRunnerPort))
 	return c
@@ -186,12 +186,12 @@
 	token := "Authorization: Bearer " + operatorToken
 	c.targets = append(
 		c.targets,
-		target{"requests", c.callers, post("POST", "/v1/services/glint-check/requests"), pad("{}", bodyLimit)},
-		target{"jobs", c.callers, post("POST", "/v1/jobs"), largestJob},
-		target{"operators", c.operators, post("POST", "/v1/statements", token), largestStatement},
-		target{"operators without a token", c.operators, post("POST", "/v1/statements"), largestStatement},
-		target{"operators' metrics", c.operators, post("GET", "/metrics"), largestStatement},
-		target{"agents", agents, post("POST", "/"), pad("{}", bodyLimit)},
+		target{"requests", c.callers, requestTo("POST", "/v1/services/glint-check/requests"), pad("{}", bodyLimit)},
+		target{"jobs", c.callers, requestTo("POST", "/v1/jobs"), largestJob},
+		target{"operators", c.operators, requestTo("POST", "/v1/statements", token), largestStatement},
+		target{"operators without a token", c.operators, requestTo("POST", "/v1/statements"), largestStatement},
+		target{"operators' metrics", c.operators, requestTo("GET", "/metrics"), largestStatement},
+		target{"agents", agents, requestTo("POST", "/"), pad("{}", bodyLimit)},
 	)
 }
 
@@ -200,8 +200,8 @@
 	tx := pad(fmt.Sprintf(`{"checks":[],"writes":[{"key":"crowd","value":%q}]}`, payload(128<<10)), bodyLimit)
 	c.targets = append(
 		c.targets,
-		target{"table", address, post("POST", "/v1/transactions"), tx},
-		target{"objects", address, post("PUT", "/v1/objects/crowd-%d"), pad("{}", bodyLimit)},
+		target{"table", address, requestTo("POST", "/v1/transactions"), tx},
+		target{"objects", address, requestTo("PUT", "/v1/objects/crowd-%d"), pad("{}", bodyLimit)},
 	)
 }
 
@@ -211,8 +211,8 @@
 		payload(maxPayload))
 	c.targets = append(
 		c.targets,
-		target{"worker", worker, post("PUT", "/v1/tasks/crowd-%d"), pad(start, bodyLimit)},
-		target{"runner", runner, post("POST", "/glint-check"), pad("{}", bodyLimit)},
+		target{"worker", worker, requestTo("PUT", "/v1/tasks/crowd-%d"), pad(start, bodyLimit)},
+		target{"runner", runner, requestTo("POST", "/glint-check"), pad("{}", bodyLimit)},
 	)
 }
 
--- a/test/ingress/together_test.go
+++ b/test/ingress/together_test.go
@@ -59,17 +59,17 @@
 		path := fmt.Sprintf("/x/%d", k) + "%015x"
 		all = append(
 			all,
-			target{"callers", at(ip, callersPort), post("POST", path), job},
-			target{"readiness", at(ip, readinessPort), post("POST", "/"), job},
-			target{"metrics", at(ip, metricsPort), post("POST", "/metrics"), job},
-			target{"peers", at(ip, peersPort), post("POST", "/"), job},
+			target{"callers", at(ip, callersPort), requestTo("POST", path), job},
+			target{"readiness", at(ip, readinessPort), requestTo("POST", "/"), job},
+			target{"metrics", at(ip, metricsPort), requestTo("POST", "/metrics"), job},
+			target{"peers", at(ip, peersPort), requestTo("POST", "/"), job},
 		)
 	}
 	return append(
 		all,
-		target{"reports", at(d.agent, reportsPort), post("PUT", "/instances/i%d"), pad("{}", 64<<10)},
-		target{"metrics", at(d.agent, metricsPort), post("POST", "/metrics"), job},
-		target{"peers", at(d.agent, peersPort), post("POST", "/"), job},
+		target{"reports", at(d.agent, reportsPort), requestTo("PUT", "/instances/i%d"), pad("{}", 64<<10)},
+		target{"metrics", at(d.agent, metricsPort), requestTo("POST", "/metrics"), job},
+		target{"peers", at(d.agent, peersPort), requestTo("POST", "/"), job},
 	)
 }
 
