--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -53,7 +53,7 @@
 	Commander *command.Commander
 	Queries   *query.Queries
 	Tokens    []Token
-	// Bodies admits the bodies of statements.
+	// Bodies admits the bodies of statements; it must not be nil.
 	Bodies *ingress.Gate
 	// OnChange is called after a command was accepted; it may be nil.
 	OnChange func()
--- a/test/sessions/bench_test.go
+++ b/test/sessions/bench_test.go
@@ -13,6 +13,7 @@
 
 	"bamboowood/internal/command"
 	"bamboowood/internal/control"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/operators"
 	"bamboowood/internal/query"
 	"bamboowood/internal/standin"
@@ -85,6 +86,7 @@
 	handler := operators.Handler(operators.Options{
 		Commander: commander, Queries: query.New(table, d, d.control),
 		Tokens: []operators.Token{{Name: "a", Secret: "t", Role: operators.RoleOperate}},
+		Bodies: ingress.NewGate(bodiesLimit, 0, nil),
 	})
 	return &fleet{deployment: d, post: func(b *testing.B, text string) {
 		r := httptest.NewRequest("POST", "/v1/statements", strings.NewReader(fmt.Sprintf(`{"statement": %q}`, text)))
--- a/test/sessions/fixture_test.go
+++ b/test/sessions/fixture_test.go
@@ -10,6 +10,7 @@
 
 	"bamboowood/internal/command"
 	"bamboowood/internal/control"
+	"bamboowood/internal/ingress"
 	"bamboowood/internal/operators"
 	"bamboowood/internal/platform"
 	"bamboowood/internal/query"
@@ -19,6 +20,9 @@
 	"bamboowood/internal/structs"
 )
 
+// bodiesLimit bounds the bodies of all operators in bytes.
+const bodiesLimit = 8 << 20
+
 // deployment is the operators' HTTP handler of an entry backed by a stand-in of
 // the table, with a clock that only the script advances.
 type deployment struct {
@@ -61,6 +65,7 @@
 			{Name: "ana", Secret: "ana-secret", Role: operators.RoleOperate},
 			{Name: "rita", Secret: "rita-secret", Role: operators.RoleRead},
 		},
+		Bodies:   ingress.NewGate(bodiesLimit, 0, nil),
 		OnChange: func() { _ = d.reload(context.Background()) },
 	}))
 	return d, d.reload(ctx)
