--- a/internal/wire/bounded.go
+++ b/internal/wire/bounded.go
@@ -23,6 +23,8 @@
 	// bufferFactor is the memory of a stream's buffer per byte in it: yamux doubles a buffer that a
 	// frame fills.
 	bufferFactor = 2
+	// streamOverhead is the memory of a stream besides its data, in bytes.
+	streamOverhead = 256
 	// memoryWait bounds the wait for memory of a peer that has been expelled, in steps of memoryPause.
 	memoryWait  = time.Second
 	memoryPause = 5 * time.Millisecond
@@ -92,8 +94,10 @@
 
 // streamMemory is the memory of one stream.
 type streamMemory struct {
-	taken  int64 // in bytes
-	closed bool
+	taken int64 // for data that has not been read, in bytes
+	// overhead is streamOverhead if the peer opened the stream, else 0.
+	overhead int64
+	closed   bool
 }
 
 // received accounts for bytes that were read from the connection.
@@ -102,7 +106,9 @@
 		var part framePart
 		part, p = m.parser.next(p)
 		if part.opens {
-			m.opened(part.stream)
+			if err := m.openedByPeer(part.stream); err != nil {
+				return err
+			}
 		}
 		if err := m.receivedData(part.stream, bufferFactor*int64(part.data)); err != nil {
 			return err
@@ -132,13 +138,27 @@
 	return nil
 }
 
-// opened begins to account for a stream. Its id may be that of one that has been closed.
+// opened begins to account for a stream that this side has opened.
 func (m *sessionMemory) opened(id uint32) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if stream := m.streams[id]; stream == nil || stream.closed {
-		m.streams[id] = &streamMemory{}
+	m.streams[id] = &streamMemory{}
+}
+
+// openedByPeer begins to account for a stream. Its id may be that of one that has been closed. yamux
+// refuses streams that nobody accepts, of which only streamOverhead stays until the session ends.
+func (m *sessionMemory) openedByPeer(id uint32) error {
+	if err := m.take(streamOverhead); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stream := m.streams[id]; stream != nil && !stream.closed {
+		m.member.Give(streamOverhead)
+		return nil
 	}
+	m.streams[id] = &streamMemory{overhead: streamOverhead}
+	return nil
 }
 
 // read returns the memory of n bytes that were read from a stream.
@@ -161,6 +181,7 @@
 		return
 	}
 	stream.closed = true
+	m.member.Give(stream.overhead)
 	time.AfterFunc(boundedCloseTimeout, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/wire/bounded_test.go
+++ b/internal/wire/bounded_test.go
@@ -101,6 +101,33 @@
 	_ = server.Close()
 }
 
+// Guards against a peer that opens streams without a bound, which are refused one by one.
+func TestBoundedSession_ManyStreams(t *testing.T) {
+	pool := ingress.NewPool(1 << 20)
+	near, far := net.Pipe()
+	server, err := NewBoundedServerSession(far, Bounds{Pool: pool})
+	must.NoError(t, err)
+	defer func() { _ = near.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, near) }()
+	go func() {
+		frame := make([]byte, frameHeaderBytes)
+		frame[frameTypeOffset] = 1 // window update
+		binary.BigEndian.PutUint16(frame[frameFlagsOffset:], frameFlagSYN)
+		for id := uint32(1); id < 40_000; id += 2 {
+			binary.BigEndian.PutUint32(frame[frameStreamOffset:], id)
+			if _, err := near.Write(frame); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-server.Done():
+	case <-time.After(30 * time.Second):
+		t.Fatal("session goes on")
+	}
+	test.LessEq(t, 1<<20, pool.Used())
+}
+
 // Guards against a peer that sends without a bound what nobody reads.
 func TestBoundedSession_UnreadData(t *testing.T) {
 	pool := ingress.NewPool(1 << 20)
