supervisor: the first list of a restarted runner replaces the bound of the restart

Cause: at a restart the agent takes the leases to last twice the longest one, since calls for the life before may reach the next one late. Every later bound was the larger of that one and its own, also after the new life had listed its runs.

Change: the list answers a call with a higher fencing token, so the runner refuses all calls for earlier lives from then on. What they have started before ends within the longest lease of the list, which replaces the bound.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -267,6 +267,7 @@
 	}
 	if s.restarted {
 		s.restarted = false
+		s.runnerLeaseUntil = s.leaseOfEarlierCalls()
 		s.reportFullState()
 	}
 	if now := s.opts.Now(); now-s.latenciesAppliedAt >= reportInterval {
@@ -275,6 +276,13 @@
 	}
 }
 
+// leaseOfEarlierCalls returns until when the leases last that calls for an earlier incarnation may have given to the
+// current one, which has just answered a call with a higher fencing token. It has refused all further ones since,
+// and shortened each lease to MaxLease.
+func (s *Supervisor) leaseOfEarlierCalls() time.Duration {
+	return s.opts.Now() + scale(s.opts.MaxLease, 1+clockDrift) + leaseMargin
+}
+
 func (s *Supervisor) applyEnds(ends []job.End) {
 	for _, e := range ends {
 		if e.Sequence <= s.receivedEnd {
