supervisor: a replaced runner's bounds are not those of the next one

Cause: the bound of the leases, and the time from which all runs are known, stayed when another runner was adopted. While it had listed nothing, the leader was not told that the runner had been replaced.

Change: the runs of the replaced runner keep its bound; the next one begins with that of earlier processes of the agent, and with the replaced one's if it is a runner that returns.

Evidence: TestSupervisor_RestartedRunnerIsReplacedBySilentOne fails without the change. TestSupervisor_PredecessorReturns passes before and after; it guards against a bound that is too short.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -222,10 +222,8 @@
 	s.dropAllRuns(causeNoListener)
 	s.ends = nil
 	s.noListenerSince, s.runnerLeaseUntil = 0, 0
-	s.restarted, s.left, s.unreachable = false, false, false
-	// The runs that a restart may have left are gone with the process, those of earlier processes of this
-	// agent may not be.
-	s.runsKnownAt = min(s.runsKnownAt, s.earlierLeaseUntil)
+	s.left, s.unreachable = false, false
+	s.forgetRestart()
 	s.reportFullState()
 }
 
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -193,7 +193,9 @@
 	}
 	if !restarted {
 		s.giveUpRuns()
+		s.forgetRestart()
 		s.runsListed = false
+		s.runnerLeaseUntil = s.leaseBeforeAdoption(r)
 	}
 	s.adoptions++
 	s.contradiction = contradiction{}
@@ -225,6 +227,27 @@
 	}
 }
 
+// forgetRestart removes the record of a restart of a runner that has been replaced or has left. Its runs are dropped or
+// detached, those of earlier processes of this agent may be alive on the next one.
+func (s *Supervisor) forgetRestart() {
+	if s.restarted {
+		s.restarted = false
+		s.runsKnownAt = min(s.runsKnownAt, s.earlierLeaseUntil)
+	}
+}
+
+// leaseBeforeAdoption returns until when the leases last that a runner, which is adopted in place of another one, may
+// have been given. If it is one that had been replaced itself, these are the leases of its detached runs as well.
+func (s *Supervisor) leaseBeforeAdoption(r *job.Runner) time.Duration {
+	until := s.earlierLeaseUntil
+	if s.endedIncarnations[incarnationOf(r)] {
+		for _, run := range s.runs {
+			until = max(until, run.detachedUntil)
+		}
+	}
+	return until
+}
+
 // reconcileAfterRestart keeps the runs of the previous incarnation when the runner restarts
 // under the same id. A start that was sent before the restart was detected may have reached
 // the new incarnation. Its first list shows which runs are alive; the leader receives the
--- a/internal/supervisor/series_test.go
+++ b/internal/supervisor/series_test.go
@@ -109,3 +109,46 @@
 		h.refusedAfter(run, maxGrantedLease)
 	})
 }
+
+// Guards against a leader that does not learn, for twice the longest lease, that a restarted runner has been replaced by
+// one that is silent.
+func TestSupervisor_RestartedRunnerIsReplacedBySilentOne(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.fake.mu.Lock()
+		h.fake.renewErr, h.fake.answeredToken = errNoAnswer, 2
+		h.fake.mu.Unlock()
+		h.restartRunner(200)
+		h.fake.setRunner("i-2", 300)
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 300, Sequence: 1}))
+		h.TakeUpdate()
+		time.Sleep(testLease + 2*killTime)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Eq(t, "i-2", snapshot.Runner.ID)
+	})
+}
+
+// Guards against giving up a run before its lease ends where its runner answers again after another one had been
+// adopted in its place: the lease was granted before that.
+func TestSupervisor_PredecessorReturns(t *testing.T) {
+	runTest(t, func(f *fakeRunner) { f.id = "i-1" }, func(h *harness) {
+		run := h.runOn("i-1")
+		h.fake.mu.Lock()
+		active := h.fake.active
+		h.fake.id, h.fake.startTime, h.fake.active = "i-2", 300, nil
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 300, Sequence: 1}))
+		time.Sleep(10 * time.Millisecond)
+		h.mu.Lock()
+		h.grantedUntil = 0
+		h.mu.Unlock()
+		h.fake.mu.Lock()
+		h.fake.id, h.fake.startTime, h.fake.active = "i-1", 0, active
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 9}))
+		time.Sleep(10 * time.Millisecond)
+		h.fake.setRenewErr(errNoAnswer)
+		test.Greater(t, testLease-time.Second, h.refusedAfter(run, maxGrantedLease))
+	})
+}
