leader: requests for advice do not wait for each other at the service

Cause: up to four requests were pending on one connection to a service that handles one at a time. Their time limits and the validity of their tickets counted from when they were queued, so that most were given up before their turn, again and again.

Change: one request is pending, that of the most urgent step; its time limit allows for one that the service still processes.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -9,9 +9,12 @@
 	"bamboowood/internal/planner"
 )
 
-// adviceSlack is added to the expected duration of an advice request for the requests queued
-// before it and the network round trip.
-const adviceSlack = 2 * time.Second
+// A request may take adviceFactor times its expected duration and adviceSlack: the service may still process an earlier
+// one that was given up, or be slow.
+const (
+	adviceFactor = 2
+	adviceSlack  = 2 * time.Second
+)
 
 // requestAdvice sends an advice request of the planner to the advice service and passes the
 // answer back.
@@ -39,7 +42,7 @@
 	r.mu.Lock()
 	expected := r.planner.AdviceDuration(req)
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(r.ctx, expected+adviceSlack)
+	ctx, cancel := context.WithTimeout(r.ctx, adviceFactor*expected+adviceSlack)
 	defer cancel()
 	tickets, valid, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
 	if err != nil {
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -164,6 +164,19 @@
 	return n
 }
 
+// countStarts returns the number of runs that the agent was ordered to start.
+func (a *fakeAgent) countStarts() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	started := map[string]bool{}
+	for _, m := range a.received {
+		for _, s := range m.message.Starts {
+			started[s.Details.Run.String()] = true
+		}
+	}
+	return len(started)
+}
+
 func hasGrant(m *wirepb.LeaderMessage) bool  { return m.Grant != nil }
 func hasStarts(m *wirepb.LeaderMessage) bool { return len(m.Starts) > 0 }
 func hasStored(m *wirepb.LeaderMessage) bool { return m.Stored != nil }
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -12,9 +12,10 @@
 	// maxRunnersPerRequest bounds the runners in one advice request. The users' objectives
 	// allow for one request on 30 runners per step.
 	maxRunnersPerRequest = 30
-	// maxPendingAdvice bounds the requests without an answer. The service processes them
-	// one at a time, and the most urgent step must not wait behind all others.
-	maxPendingAdvice = 4
+	// maxPendingAdvice bounds the requests without an answer. The service processes them one at
+	// a time: further ones would only wait there while they and their tickets expire, and the
+	// most urgent step would wait behind them.
+	maxPendingAdvice = 1
 	// ticketMargin is the validity that a ticket must have left for the start to reach
 	// its runner.
 	ticketMargin = 300 * time.Millisecond
