leader: a process knows that an earlier one at its address gives no leases

Cause: the next leader waits until the last lease that an earlier leader may have given is over. It knew that its predecessor, at its own address, had ended, but counted 7 s of grants and the lease from its own begin, as if that one were alive.

Change: a leader stores with its renewals a time on the store's clock at which its term had begun. A process that follows one at its address counts the leases from its own start, or from 7 s after that time if that is later: until then leaders of earlier terms may give leases.

--- a/internal/leader/bound.go
+++ b/internal/leader/bound.go
@@ -37,6 +37,19 @@
 	return grantsBound{since + drifted(grantValidity), true}
 }
 
+// boundOfEnded returns the bound for a term whose leader had certainly ended at a time. clock is a reading of the
+// store's clock since, with the last renewal of the term. Leaders of earlier terms may extend leases until
+// grantValidity after the term was confirmed.
+func boundOfEnded(term ledger.Term, renewal ledger.Renewal, clock storeClock, at time.Duration) grantsBound {
+	if renewal.ConfirmedAt == 0 || renewal.Process != term.Process || clock.store == 0 || renewal.ConfirmedAt > clock.store {
+		return grantsBound{}
+	}
+	if earlier := renewal.ConfirmedAt + drifted(grantValidity); earlier > clock.store {
+		at = max(at, clock.passed(earlier))
+	}
+	return grantsBound{at, true}
+}
+
 // left returns for how long after now a lease may still be extended, rounded up to milliseconds, by leaders of
 // the terms before one that had begun at a time.
 func (b grantsBound) left(now, began time.Duration) time.Duration {
--- a/internal/leader/bound_test.go
+++ b/internal/leader/bound_test.go
@@ -9,6 +9,7 @@
 
 	"bamboowood/internal/boottime"
 	"bamboowood/internal/ledger"
+	"bamboowood/internal/store"
 )
 
 // Guards against a bound that leaves out a leader which has lost the store but still extends leases: its term
@@ -17,6 +18,8 @@
 	const at = time.Hour
 	millis := func(d time.Duration) *int64 { ms := d.Milliseconds(); return &ms }
 	resigned := ledger.Term{Number: 2, Resigned: true, EarlierGrantsMillis: millis(5 * time.Second)}
+	term, renewal := ledger.Term{Process: "p/0"}, ledger.Renewal{Process: "p/0", ConfirmedAt: time.Minute}
+	clock := storeClock{before: at, after: at + time.Millisecond, store: 2 * time.Minute}
 	for name, c := range map[string]struct {
 		bound grantsBound
 		want  grantsBound
@@ -28,6 +31,15 @@
 		"resigned, too long":        {boundOfResigned(ledger.Term{Resigned: true, EarlierGrantsMillis: millis(at)}, at), grantsBound{}},
 		"unrenewed":                 {boundOfUnrenewed(ledger.Term{Number: 1}, at), grantsBound{at + drifted(grantValidity), true}},
 		"unrenewed, unreadable":     {boundOfUnrenewed(ledger.Term{Unreadable: true}, at), grantsBound{}},
+		"ended":                     {boundOfEnded(term, renewal, clock, at), grantsBound{at, true}},
+		"ended, begun shortly before": {
+			boundOfEnded(term, ledger.Renewal{Process: "p/0", ConfirmedAt: clock.store - time.Second}, clock, at),
+			grantsBound{clock.after + drifted(drifted(grantValidity)-time.Second), true},
+		},
+		"ended, not confirmed":         {boundOfEnded(term, ledger.Renewal{Process: "p/0"}, clock, at), grantsBound{}},
+		"ended, renewal of another":    {boundOfEnded(ledger.Term{Process: "p/1"}, renewal, clock, at), grantsBound{}},
+		"ended, clock unknown":         {boundOfEnded(term, renewal, storeClock{before: at, after: at}, at), grantsBound{}},
+		"ended, clock reset meanwhile": {boundOfEnded(term, renewal, storeClock{before: at, after: at, store: time.Second}, at), grantsBound{}},
 	} {
 		test.Eq(t, c.want, c.bound, test.Sprint(name))
 	}
@@ -45,7 +57,8 @@
 // recovered job, while another agent is silent.
 func startBesideSilentAgent(t *testing.T, before func(jobLedger *ledger.Ledger)) time.Duration {
 	hooked, _ := newHookedStore(t)
-	jobLedger := newLedger(hooked)
+	clocked := &clockedStore{hookedStore: hooked}
+	jobLedger := ledger.New(clocked, store.NewBulkReader(clocked, 0))
 	before(jobLedger)
 	b := newFakeAgent(t)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", "127.0.0.1:1"))
@@ -77,3 +90,20 @@
 	})
 	test.Between(t, grantValidity+time.Second, took, grantValidity+time.Second+takeoverAfter)
 }
+
+// Guards against a leader that waits for grants of an earlier process at its address, which has ended, and against
+// one that does not wait for those of the leader before it.
+func TestLeader_WaitAfterRestart(t *testing.T) {
+	earlier := func(confirmedFor time.Duration) time.Duration {
+		return startBesideSilentAgent(t, func(jobLedger *ledger.Ledger) {
+			old, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p0/0")
+			must.NoError(t, err)
+			now, err := jobLedger.StoreTime(t.Context())
+			must.NoError(t, err)
+			old.SetConfirmedAt(now - confirmedFor)
+			must.NoError(t, old.Renew(t.Context()))
+		})
+	}
+	test.Between(t, time.Second, earlier(time.Minute), 3*time.Second)
+	test.Between(t, grantValidity-2*time.Second, earlier(3*time.Second), grantValidity)
+}
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,8 @@
 	term atomic.Pointer[ledger.Term]
 	// leadership is set while this process leads and has recovered all jobs.
 	leadership atomic.Pointer[leadership]
+	// runBegan is when Run was called first, after this process had bound its address. Only Run uses it.
+	runBegan time.Duration
 }
 
 // New returns a Leader, which does nothing until Run is called.
@@ -123,6 +126,9 @@
 
 // Run campaigns for the leadership and leads until ctx is done, and then resigns.
 func (l *Leader) Run(ctx context.Context) error {
+	if l.runBegan == 0 {
+		l.runBegan = l.opts.Now()
+	}
 	for ctx.Err() == nil {
 		if err := l.campaign(ctx); err != nil && ctx.Err() == nil {
 			l.opts.Logger.WithError(err).Warn("leader election or term failed")
@@ -157,6 +163,9 @@
 		l.observe(term)
 	}
 	renewal, grants := ledger.NoLeader, boundOfResigned(term, readAt)
+	if l.ledByEarlierProcess(term) {
+		grants = l.boundOfEarlierProcess(ctx, term)
+	}
 	if !l.leaderless(term) {
 		var since time.Duration
 		var expired bool
@@ -206,6 +215,24 @@
 	return !term.Unreadable && (term.Number == 0 || term.Resigned || term.Leader == l.opts.Address)
 }
 
+// ledByEarlierProcess reports whether a term's leader was an earlier process at this address, which has ended.
+func (l *Leader) ledByEarlierProcess(term ledger.Term) bool {
+	return !term.Unreadable && !term.Resigned && term.Number != 0 && term.Leader == l.opts.Address &&
+		!strings.HasPrefix(term.Process, l.opts.Process+"/")
+}
+
+// boundOfEarlierProcess returns the bound for the term of an earlier process at this address. It is unknown if the
+// store does not answer.
+func (l *Leader) boundOfEarlierProcess(ctx context.Context, term ledger.Term) grantsBound {
+	before := l.opts.Now()
+	renewal, at, err := l.opts.Ledger.Renewal(ctx)
+	if err != nil {
+		l.opts.Logger.WithError(err).Warn("renewal read failed")
+		return grantsBound{}
+	}
+	return boundOfEnded(term, renewal, storeClock{before, l.opts.Now(), at}, l.runBegan)
+}
+
 // awaitTermChange waits until another term begins or the leader resigns this one. It
 // retries failed calls: an error would make watch start over.
 func (l *Leader) awaitTermChange(ctx context.Context, term ledger.Term, version int64) error {
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -7,6 +7,9 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"bamboowood/internal/store"
@@ -60,11 +63,53 @@
 // RenewalVersion returns a number that changes with each renewal of the term; 0 if there has
 // been none.
 func (l *Ledger) RenewalVersion(ctx context.Context) (int64, error) {
-	row, err := l.readRow(ctx, mainKey(renewalTable, leaderKey))
-	if err != nil || row == nil {
-		return 0, err
+	renewal, _, err := l.Renewal(ctx)
+	return renewal.Version, err
+}
+
+// Renewal is the last renewal of a term.
+type Renewal struct {
+	// Version changes with each renewal; 0 if there has been none.
+	Version int64
+	// Process is that of Term.
+	Process string
+	// ConfirmedAt is a time, on the store's clock, at which the term had begun: no earlier term was renewed after
+	// it. It is 0 if unknown.
+	ConfirmedAt time.Duration
+}
+
+// confirmedLabel is the label of Renewal.ConfirmedAt, which follows the process.
+const confirmedLabel = "confirmed-ms="
+
+// Renewal returns the last renewal and the time on the store's clock, 0 if the store does not tell it.
+func (l *Ledger) Renewal(ctx context.Context) (Renewal, time.Duration, error) {
+	k := mainKey(renewalTable, leaderKey)
+	page, err := l.store.Read(ctx, store.ReadRequest{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}, 1)
+	if err != nil {
+		return Renewal{}, 0, fmt.Errorf("read renewal: %w", err)
+	}
+	if len(page.Rows) == 0 {
+		return Renewal{}, page.Time, nil
+	}
+	process, confirmed, _ := strings.Cut(string(page.Rows[0].Value), " ")
+	r := Renewal{Version: page.Rows[0].Version, Process: process}
+	if at, err := labelledMillis(confirmed, confirmedLabel); err == nil {
+		r.ConfirmedAt = at
 	}
-	return row.Version, nil
+	return r, page.Time, nil
+}
+
+func (h *HeldTerm) renewalValue() []byte {
+	value := []byte(h.Term.Process)
+	if at := h.confirmedMillis.Load(); at > 0 {
+		value = strconv.AppendInt(append(value, " "+confirmedLabel...), at, 10)
+	}
+	return value
+}
+
+// SetConfirmedAt sets the time that further renewals hold as Renewal.ConfirmedAt.
+func (h *HeldTerm) SetConfirmedAt(at time.Duration) {
+	h.confirmedMillis.Store((at + time.Millisecond - 1).Milliseconds())
 }
 
 func decodeTerm(row store.Row) Term {
@@ -77,7 +122,7 @@
 }
 
 // HeldTerm is a term that this process leads. Its methods are not safe for
-// concurrent use, except Renew.
+// concurrent use, except Renew and SetConfirmedAt.
 type HeldTerm struct {
 	ledger *Ledger
 	Term   Term
@@ -86,6 +131,8 @@
 	Renewed bool
 	// progressVersions holds the version of each job's row in progressTable.
 	progressVersions map[string]int64
+	// confirmedMillis is Renewal.ConfirmedAt.
+	confirmedMillis atomic.Int64
 	// unconfirmed is a transaction without an answer: it may have been applied.
 	unconfirmed *store.Tx
 }
@@ -145,7 +192,7 @@
 func (h *HeldTerm) Renew(ctx context.Context) error {
 	return conflictAsDeposed(h.ledger.apply(ctx, store.Tx{
 		Expect: []store.Expect{h.expectTerm()},
-		Writes: []store.Write{{Key: mainKey(renewalTable, leaderKey), Value: []byte(h.Term.Process)}},
+		Writes: []store.Write{{Key: mainKey(renewalTable, leaderKey), Value: h.renewalValue()}},
 	}))
 }
 
