--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -12,6 +12,9 @@
 	"bamboowood/internal/ledger"
 )
 
+// cancelTimeout bounds a cancel, for callers that set no earlier deadline.
+const cancelTimeout = 5 * time.Second
+
 // Limits of the cancels of jobs that the leader does not have, for an entry. Each leaves a row in the store and a
 // record in the leader for a time.
 const (
@@ -34,7 +37,7 @@
 // Cancel implements Intake. Its answer that there is no such job holds also for a submission that the store
 // performs later: the stored cancel keeps the job from being stored.
 func (s *Server) Cancel(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	cancelJob := s.Ledger.Cancel
 	if _, found, leading := s.Leader.Status(ctx, id); !found || !leading {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -110,7 +110,7 @@
 }
 
 const (
-	// submitTimeout bounds a submission or cancel. Callers may set an earlier deadline.
+	// submitTimeout bounds a submission. Callers may set an earlier deadline.
 	submitTimeout = 2500 * time.Millisecond
 	// acceptRetryPause is the pause after an attempt to store a job or cancel whose
 	// outcome is unknown.
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -84,8 +84,8 @@
 }
 
 // The advice service processes one request at a time, so an urgent step would wait behind
-// the requests of all other steps. Only a few requests are pending at once, those of the
-// most urgent steps.
+// the requests of all other steps. One request is pending at a time, that of the most
+// urgent step.
 func TestPattern_ManyStepsNeedAdvice(t *testing.T) {
 	f := newFixture(t, 1)
 	f.agent("a")
