leader: tell apart why a step needs advice again, and how each request ended

The logs and metrics of advice requests did not tell a call that was given up from one that was refused, nor a ticket that expired unused from one that a runner rejected, so a step without a usable ticket had no visible cause.

Each request has a reason (first, unanswered, denied, expired, rejected, no-room) and a result (answered, given-up, failed, aborted), in the log and in bamboowood_advice_requests_total. Refused starts are logged with their reason.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -16,15 +16,31 @@
 	adviceSlack  = 2 * time.Second
 )
 
+// adviceResult is how an advice request ended.
+type adviceResult string
+
+const (
+	adviceAnswered adviceResult = "answered"
+	// adviceGivenUp: no answer came within the timeout of the request.
+	adviceGivenUp adviceResult = "given-up"
+	// adviceFailed: the service refused the request, or could not be reached or understood.
+	adviceFailed adviceResult = "failed"
+	// adviceAborted: the leadership ended first.
+	adviceAborted adviceResult = "aborted"
+)
+
 // requestAdvice sends an advice request of the planner to the advice service and passes the
 // answer back.
 func (r *leadership) requestAdvice(req planner.AdviceRequest) {
 	requestedAt := r.opts.Now()
-	logger := r.opts.Logger.WithFields(log.Fields{"step": req.Task.StepName(), "runners": len(req.Runners)})
-	tickets, valid := r.advise(req, logger)
+	logger := r.opts.Logger.WithFields(log.Fields{
+		"step": req.Task.StepName(), "runners": len(req.Runners), "reason": string(req.Reason),
+	})
+	tickets, valid, result := r.advise(req, logger)
 	now := r.opts.Now()
+	countAdvice(req.Reason, result)
 	logger.WithFields(log.Fields{
-		"granted": len(tickets), "valid_ms": valid.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(),
+		"granted": len(tickets), "valid_ms": valid.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(), "result": string(result),
 	}).Info("advice request finished")
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -34,10 +50,10 @@
 
 // advise returns the tickets by runner and how long they are valid. The tickets are nil if
 // there is no answer.
-func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (map[string]string, time.Duration) {
+func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (map[string]string, time.Duration, adviceResult) {
 	if r.opts.Advisor == nil {
 		logger.Error("queue requires advice but no advice service is configured")
-		return nil, 0
+		return nil, 0, adviceFailed
 	}
 	r.mu.Lock()
 	expected := r.planner.AdviceDuration(req)
@@ -48,7 +64,18 @@
 	if err != nil {
 		adviceFailures.Inc()
 		logger.WithError(err).Warn("advice request failed")
-		return nil, 0
+		return nil, 0, adviceErrorResult(r.ctx, ctx)
+	}
+	return tickets, valid, adviceAnswered
+}
+
+// adviceErrorResult returns how a request with the context request failed, in a term with the context term.
+func adviceErrorResult(term, request context.Context) adviceResult {
+	switch {
+	case term.Err() != nil:
+		return adviceAborted
+	case request.Err() != nil:
+		return adviceGivenUp
 	}
-	return tickets, valid
+	return adviceFailed
 }
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -377,6 +377,9 @@
 			continue
 		}
 		countRefusal(refusal.Reason)
+		r.opts.Logger.WithFields(log.Fields{
+			"task": run.Task.String(), "run": run.Number, "agent": c.id, "reason": refusal.Reason,
+		}).Info("start refused")
 		r.planner.StartRefused(now, c.id, run, planner.RefusalReason(refusal.Reason))
 	}
 	if len(m.Active) > 0 {
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -46,6 +46,11 @@
 	deferralsTotal.Add(len(o.Deferrals))
 }
 
+// countAdvice counts a request for advice by why it was made and how it ended.
+func countAdvice(reason planner.AdviceReason, result adviceResult) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_advice_requests_total{reason=%q,result=%q}", string(reason), string(result))).Inc()
+}
+
 // otherReason is the label value for a reason that this module does not know.
 const otherReason = "other"
 
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -27,8 +27,28 @@
 type AdviceRequest struct {
 	Task    job.Task
 	Runners []string
+	Reason  AdviceReason
 }
 
+// AdviceReason is the reason why a step needs an answer of the advice service.
+type AdviceReason string
+
+// The reasons for advice requests.
+const (
+	// AdviceFirst: the step has had no answer yet.
+	AdviceFirst AdviceReason = "first"
+	// AdviceUnanswered: the last request got no answer.
+	AdviceUnanswered AdviceReason = "unanswered"
+	// AdviceDenied: the last answer allowed none of its runners.
+	AdviceDenied AdviceReason = "denied"
+	// AdviceRejected: a runner rejected a start for its ticket.
+	AdviceRejected AdviceReason = "rejected"
+	// AdviceExpired: the tickets of the last answer expired before all tasks had started.
+	AdviceExpired AdviceReason = "expired"
+	// AdviceNoRoom: tickets are valid, but their runners lack room.
+	AdviceNoRoom AdviceReason = "no-room"
+)
+
 // advice holds the answers of the advice service for one step. They do not change during a
 // step, so no request repeats a runner that was denied.
 type advice struct {
@@ -38,6 +58,8 @@
 	tickets map[string]ticket
 	// denied holds the ids of the runners that may not run the step.
 	denied map[string]bool
+	// last is the reason for the next request as far as it follows from the last event.
+	last AdviceReason
 }
 
 type ticket struct {
@@ -46,7 +68,20 @@
 }
 
 func newAdvice() *advice {
-	return &advice{tickets: map[string]ticket{}, denied: map[string]bool{}}
+	return &advice{tickets: map[string]ticket{}, denied: map[string]bool{}, last: AdviceFirst}
+}
+
+// reason returns why the step needs another answer at now.
+func (v *advice) reason(now time.Duration) AdviceReason {
+	if v.last != AdviceExpired {
+		return v.last
+	}
+	for id := range v.tickets {
+		if v.hasValidTicket(now, id) {
+			return AdviceNoRoom
+		}
+	}
+	return AdviceExpired
 }
 
 func (v *advice) hasValidTicket(now time.Duration, runnerID string) bool {
@@ -81,7 +116,7 @@
 		return
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}}
+	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}, Reason: v.reason(now)}
 	for _, o := range options[:min(len(options), maxRunnersPerRequest)] {
 		q.Runners = append(q.Runners, o.id)
 	}
@@ -112,11 +147,13 @@
 	v := s.advice
 	v.pending = false
 	if tickets == nil {
-		v.retryAt = now + adviceRetryDelay
+		v.retryAt, v.last = now+adviceRetryDelay, AdviceUnanswered
 		return
 	}
+	v.last = AdviceDenied
 	for _, id := range q.Runners {
 		if text, ok := tickets[id]; ok {
+			v.last = AdviceExpired
 			v.tickets[id] = ticket{text: text, expiresAt: sentAt + validity - ticketMargin}
 		} else {
 			v.denied[id] = true
