planner: use tickets that come late or last only briefly

A ticket counted as expired 300 ms before its validity had passed since the request was sent, so an answer that took longer than that, or tickets that last less than 300 ms, were never used, and the step asked again without end. But a service may issue tickets when it answers, and a start with an expired one is only rejected.

Tickets are used for at least half of their validity after they were received, and the margin is at most a quarter of it. A rejected start makes the step ask again, as before.

TestPattern_AdviceTakesAsLongAsTicketsLast fails before in all four cases (no start).

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -17,7 +17,7 @@
 	// most urgent step would wait behind them.
 	maxPendingAdvice = 1
 	// ticketMargin is the validity that a ticket must have left for the start to reach
-	// its runner.
+	// its runner, at most a quarter of the whole.
 	ticketMargin = 300 * time.Millisecond
 	// adviceRetryDelay is the pause after a request without an answer.
 	adviceRetryDelay = 200 * time.Millisecond
@@ -154,9 +154,17 @@
 	for _, id := range q.Runners {
 		if text, ok := tickets[id]; ok {
 			v.last = AdviceExpired
-			v.tickets[id] = ticket{text: text, expiresAt: sentAt + validity - ticketMargin}
+			v.tickets[id] = ticket{text: text, expiresAt: ticketExpiry(now, sentAt, validity)}
 		} else {
 			v.denied[id] = true
 		}
 	}
 }
+
+// ticketExpiry returns until when tickets are used that were received at now, as the answer to a request that
+// was sent at sentAt. The service may have issued them at any time in between. An early start that is rejected
+// costs a call, a ticket that is never used keeps the step from starting: so tickets are used for half
+// of their validity after they were received, however long the answer took.
+func ticketExpiry(now, sentAt, validity time.Duration) time.Duration {
+	return max(sentAt+validity, now+validity/2) - min(ticketMargin, validity/4)
+}
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -119,3 +119,23 @@
 	f.answer(q, q.Runners[0])
 	must.Len(t, 1, f.plan().Starts)
 }
+
+// Guards against steps that never start because the answer took nearly as long as its tickets last, or longer, or
+// because the tickets last no longer than the margin for the start's way.
+func TestPattern_AdviceTakesAsLongAsTicketsLast(t *testing.T) {
+	for _, c := range []struct{ took, validity time.Duration }{
+		{1490 * time.Millisecond, 1500 * time.Millisecond},
+		{2750 * time.Millisecond, ticketTime},
+		{2 * ticketTime, ticketTime},
+		{30 * time.Millisecond, 250 * time.Millisecond},
+	} {
+		f := newFixture(t, 1)
+		f.agent("a")
+		f.advisedJob(1, step(1))
+		q := f.plan().AdviceRequests[0]
+		sentAt := f.now
+		f.now += c.took
+		f.AdviceReceived(f.now, sentAt, q, map[string]string{"i-a": "ticket"}, c.validity)
+		test.Len(t, 1, f.plan().Starts, test.Sprint(c.took, c.validity))
+	}
+}
