planner: ask for advice on no more runners than a step is expected to use

Callers saw jobs of a queue with a policy wait for seconds, or for ever where there are many runners: each request named all eligible runners, up to 30, although a step of four small tasks needs one or two.

A request names the runners that are known to be allowed and have room for the waiting tasks, a spare one, and as many others as yield the most useful grants for the service's time, by the share of grants learned for the queue. Unless the step is a gang, the answer is to take at most half of the time for which its tickets last. Runners are left out on which the step could not start even with a ticket: reserved for others, or busy with best-effort tasks. Valid tickets count by the room of their runners: a step asks on if they do not suffice. Starved best-effort steps ask for the runners that they may overcommit, and a gang for all of its runners at once.

TestPattern_AdviceOnManyRunners fails before (a request that takes 3.2 s of 3 s; 16 s for five jobs). TestPattern_GangNeedsAdviceOnManyRunners and TestPlanner_AdviceForWideStep guard against requests that are too small; they passed before. TestPattern_AdviceServiceDeniesMostRunners asked for requests on exactly 30 runners, then on the rest. It now asks that each runner is named once, at most 30 at a time and more after each denial, until the last one is allowed.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -69,6 +69,9 @@
 	Valid  time.Duration `json:"valid,omitempty"`
 }
 
+// Duration returns how long an answer on n runners takes.
+func (a *Advice) Duration(n int) time.Duration { return a.Decide + time.Duration(n)*a.Each }
+
 // Step is a set of identical tasks.
 type Step struct {
 	Tasks int `json:"tasks"`
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -55,10 +55,7 @@
 		logger.Error("queue requires advice but no advice service is configured")
 		return nil, 0, adviceFailed
 	}
-	r.mu.Lock()
-	expected := r.planner.AdviceDuration(req)
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(r.ctx, adviceFactor*expected+adviceSlack)
+	ctx, cancel := context.WithTimeout(r.ctx, adviceFactor*req.Expected+adviceSlack)
 	defer cancel()
 	tickets, valid, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
 	if err != nil {
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"bamboowood/internal/job"
@@ -28,6 +26,8 @@
 	Task    job.Task
 	Runners []string
 	Reason  AdviceReason
+	// Expected is how long the service is expected to take.
+	Expected time.Duration
 }
 
 // AdviceReason is the reason why a step needs an answer of the advice service.
@@ -62,6 +62,7 @@
 	last AdviceReason
 }
 
+// ticket allows a runner to run the step. It stays known after it has expired, since grants do not change.
 type ticket struct {
 	text      string
 	expiresAt time.Duration
@@ -71,6 +72,15 @@
 	return &advice{tickets: map[string]ticket{}, denied: map[string]bool{}, last: AdviceFirst}
 }
 
+// ticketRejected records that the runner rejected a start for its ticket.
+func (v *advice) ticketRejected(runnerID string) {
+	if t, ok := v.tickets[runnerID]; ok {
+		t.expiresAt = 0
+		v.tickets[runnerID] = t
+	}
+	v.last = AdviceRejected
+}
+
 // reason returns why the step needs another answer at now.
 func (v *advice) reason(now time.Duration) AdviceReason {
 	if v.last != AdviceExpired {
@@ -88,54 +98,6 @@
 	return now < v.tickets[runnerID].expiresAt
 }
 
-// requestAdvice queues an advice request for a step, on the eligible runners with the
-// lowest cost, unless one of them has a valid ticket or a request is pending.
-func (p *Planner) requestAdvice(now time.Duration, s *stepState, excludeEjected bool) {
-	v := s.advice
-	if v.pending || p.pendingAdvice >= maxPendingAdvice || now < v.retryAt {
-		return
-	}
-	type option struct {
-		id   string
-		cost float64
-	}
-	var options []option
-	for _, a := range p.orderedAgents {
-		if !p.eligible(now, a, s, pickOptions{excludeEjected: excludeEjected}) || v.denied[a.runner.ID] {
-			continue
-		}
-		if v.hasValidTicket(now, a.runner.ID) {
-			return
-		}
-		options = append(options, option{a.runner.ID, p.placementCost(now, a, s, &s.tasks[0], "")})
-	}
-	if len(options) == 0 {
-		if excludeEjected && p.mayUseEjected(now, s) {
-			p.requestAdvice(now, s, false)
-		}
-		return
-	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}, Reason: v.reason(now)}
-	for _, o := range options[:min(len(options), maxRunnersPerRequest)] {
-		q.Runners = append(q.Runners, o.id)
-	}
-	v.pending = true
-	p.pendingAdvice++
-	p.adviceRequests = append(p.adviceRequests, q)
-}
-
-// AdviceDuration returns how long the service is expected to take for a request, 0 if the
-// planner does not have the job.
-func (p *Planner) AdviceDuration(q AdviceRequest) time.Duration {
-	js := p.jobs[q.Task.Job]
-	if js == nil || js.job.Queue.Advice == nil {
-		return 0
-	}
-	a := js.job.Queue.Advice
-	return a.Decide + time.Duration(len(q.Runners))*a.Each
-}
-
 // AdviceReceived applies the answer to a request that was sent at sentAt: the tickets, by
 // runner id, of the runners that may run the step. A nil map means that no answer arrived.
 func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, tickets map[string]string, validity time.Duration) {
@@ -151,6 +113,7 @@
 		return
 	}
 	v.last = AdviceDenied
+	p.grantShareOf(s).learn(len(q.Runners), len(tickets))
 	for _, id := range q.Runners {
 		if text, ok := tickets[id]; ok {
 			v.last = AdviceExpired
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -82,8 +82,10 @@
 	// sent or not.
 	adviceRequests []AdviceRequest
 	pendingAdvice  int
-	deferrals      []Deferral
-	stats          Stats
+	// grantShares are learned by queue.
+	grantShares map[string]*grantShare
+	deferrals   []Deferral
+	stats       Stats
 
 	interference *interference.Model
 	// bias is, by queue, the logarithm of the factor by which tasks take longer than
@@ -123,7 +125,7 @@
 		jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		scheduled: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		interference: interference.New(), bias: map[string]float64{}, quarantined: map[string]bool{},
-		learned: forecast.NewDurations(),
+		learned: forecast.NewDurations(), grantShares: map[string]*grantShare{},
 	}
 }
 
--- a/internal/planner/startbudget.go
+++ b/internal/planner/startbudget.go
@@ -90,9 +90,6 @@
 		return
 	}
 	p.currentJob = c.step.job.job.ID
-	if c.step.advice != nil {
-		p.requestAdvice(now, c.step, excludeEjected)
-	}
 	p.placing(now, position, c)
 	opts := pickOptions{excludeEjected: excludeEjected}
 	switch {
@@ -104,4 +101,7 @@
 	default:
 		p.starts = p.startTasks(now, c.step, opts, p.starts)
 	}
+	if c.step.advice != nil {
+		p.requestAdvice(now, c.step, opts)
+	}
 }
