planner, leader: give advice requests the time that the service takes

Callers saw jobs stand still where the advice service is slower than the figures of its queue: each request was given up after twice these figures and 2 s, again and again, and the service was kept busy with calls that nobody waited for.

The planner learns from answers, and from requests that were given up, by how much the service is slower than its figures. Timeouts and the number of runners in a request follow it; after a request that was given up, the next one has at least twice its time, up to a minute. A faster service is followed by half of the difference at each answer.

TestPattern_AdviceTakesLongerThanFigures: the timeout was the same for each request before, so no answer of 20 s came in time.

--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -9,13 +9,6 @@
 	"bamboowood/internal/planner"
 )
 
-// A request may take adviceFactor times its expected duration and adviceSlack: the service may still process an earlier
-// one that was given up, or be slow.
-const (
-	adviceFactor = 2
-	adviceSlack  = 2 * time.Second
-)
-
 // adviceResult is how an advice request ended.
 type adviceResult string
 
@@ -40,22 +33,25 @@
 	now := r.opts.Now()
 	countAdvice(req.Reason, result)
 	logger.WithFields(log.Fields{
-		"granted": len(tickets), "valid_ms": valid.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(), "result": string(result),
+		"granted": len(tickets), "expected_ms": req.Expected.Milliseconds(), "valid_ms": valid.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(), "result": string(result),
 	}).Info("advice request finished")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.planner.AdviceReceived(now, requestedAt, req, tickets, valid)
+	if result == adviceAnswered {
+		r.planner.AdviceReceived(now, requestedAt, req, tickets, valid)
+	} else {
+		r.planner.AdviceFailed(now, requestedAt, req, result == adviceGivenUp)
+	}
 	r.signalChange()
 }
 
-// advise returns the tickets by runner and how long they are valid. The tickets are nil if
-// there is no answer.
+// advise returns the tickets by runner and how long they are valid.
 func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (map[string]string, time.Duration, adviceResult) {
 	if r.opts.Advisor == nil {
 		logger.Error("queue requires advice but no advice service is configured")
 		return nil, 0, adviceFailed
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, adviceFactor*req.Expected+adviceSlack)
+	ctx, cancel := context.WithTimeout(r.ctx, req.Timeout)
 	defer cancel()
 	tickets, valid, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
 	if err != nil {
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -26,8 +26,11 @@
 	Task    job.Task
 	Runners []string
 	Reason  AdviceReason
-	// Expected is how long the service is expected to take.
-	Expected time.Duration
+	// Expected is how long the service is expected to take, and Timeout after what time the request is to be
+	// given up.
+	Expected, Timeout time.Duration
+	// figure is the duration by the queue's figures.
+	figure time.Duration
 }
 
 // AdviceReason is the reason why a step needs an answer of the advice service.
@@ -99,19 +102,14 @@
 }
 
 // AdviceReceived applies the answer to a request that was sent at sentAt: the tickets, by
-// runner id, of the runners that may run the step. A nil map means that no answer arrived.
+// runner id, of the runners that may run the step, and how long they are valid.
 func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, tickets map[string]string, validity time.Duration) {
-	p.pendingAdvice--
-	s, _ := p.findTask(q.Task)
-	if s == nil || s.advice == nil {
+	p.adviceTiming.answered(q.figure, now-sentAt)
+	s := p.adviceFinished(q)
+	if s == nil {
 		return
 	}
 	v := s.advice
-	v.pending = false
-	if tickets == nil {
-		v.retryAt, v.last = now+adviceRetryDelay, AdviceUnanswered
-		return
-	}
 	v.last = AdviceDenied
 	p.grantShareOf(s).learn(len(q.Runners), len(tickets))
 	for _, id := range q.Runners {
@@ -124,6 +122,28 @@
 	}
 }
 
+// AdviceFailed records that a request that was sent at sentAt has no answer. givenUp is set if its timeout had
+// passed.
+func (p *Planner) AdviceFailed(now, sentAt time.Duration, q AdviceRequest, givenUp bool) {
+	if givenUp {
+		p.adviceTiming.givenUp(q.figure, now-sentAt)
+	}
+	if s := p.adviceFinished(q); s != nil {
+		s.advice.retryAt, s.advice.last = now+adviceRetryDelay, AdviceUnanswered
+	}
+}
+
+// adviceFinished ends a request and returns its step, nil if there is none any more.
+func (p *Planner) adviceFinished(q AdviceRequest) *stepState {
+	p.pendingAdvice--
+	s, _ := p.findTask(q.Task)
+	if s == nil || s.advice == nil {
+		return nil
+	}
+	s.advice.pending = false
+	return s
+}
+
 // ticketExpiry returns until when tickets are used that were received at now, as the answer to a request that
 // was sent at sentAt. The service may have issued them at any time in between. An early start that is rejected
 // costs a call, a ticket that is never used keeps the step from starting: so tickets are used for half
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -90,7 +90,7 @@
 	f := newFixture(t, 1)
 	f.agent("a")
 	f.advisedJob(1, step(1))
-	f.AdviceReceived(f.now, f.now, f.plan().AdviceRequests[0], nil, 0)
+	f.AdviceFailed(f.now, f.now, f.plan().AdviceRequests[0], false)
 	must.Len(t, 0, f.plan().AdviceRequests)
 	f.now += adviceRetryDelay
 	must.Len(t, 1, f.plan().AdviceRequests)
@@ -231,3 +231,40 @@
 	}
 	test.Eq(t, 6, starts)
 }
+
+// Guards against a service that is slower than its queue's figures say, all of whose answers come after the
+// request was given up.
+func TestPattern_AdviceTakesLongerThanFigures(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.advisedJob(1, step(1))
+	const takes = 20 * time.Second
+	began := f.now
+	q := f.plan().AdviceRequests[0]
+	for q.Timeout < takes {
+		must.Less(t, time.Minute, f.now-began)
+		sentAt := f.now
+		f.now += q.Timeout
+		f.AdviceFailed(f.now, sentAt, q, true)
+		f.now += adviceRetryDelay
+		q = f.plan().AdviceRequests[0]
+	}
+	test.Len(t, 1, f.answerAfter(q, takes, ticketTime, "i-a").Starts)
+}
+
+// A service that is fast again gets requests of the usual size and timeout again.
+func TestAdviceTiming_Recovers(t *testing.T) {
+	const figure = time.Second
+	timing := &adviceTiming{}
+	usual := timing.timeout(figure)
+	timing.answered(figure, 10*figure)
+	test.Greater(t, 10*figure, timing.timeout(figure))
+	for range 10 {
+		timing.answered(figure, figure)
+	}
+	test.Less(t, usual+100*time.Millisecond, timing.timeout(figure))
+	for range 100 {
+		timing.givenUp(figure, timing.timeout(figure))
+	}
+	test.LessEq(t, adviceFactor*maxAdviceDelay+adviceSlack, timing.timeout(figure))
+}
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -48,7 +48,8 @@
 	}
 	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}, Reason: v.reason(now)}
 	q.Runners = p.chooseForAdvice(s, options, wanted-covered)
-	q.Expected = p.adviceDuration(s, len(q.Runners))
+	q.figure = s.job.job.Queue.Advice.Duration(len(q.Runners))
+	q.Expected, q.Timeout = p.adviceTiming.expected(q.figure), p.adviceTiming.timeout(q.figure)
 	v.pending = true
 	p.pendingAdvice++
 	p.adviceRequests = append(p.adviceRequests, q)
@@ -157,7 +158,7 @@
 
 // adviceDuration returns how long the service is expected to take for a request on n runners.
 func (p *Planner) adviceDuration(s *stepState, n int) time.Duration {
-	return s.job.job.Queue.Advice.Duration(n)
+	return p.adviceTiming.expected(s.job.job.Queue.Advice.Duration(n))
 }
 
 // ticketValidity returns how long tickets for the step are expected to be valid.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -82,6 +82,7 @@
 	// sent or not.
 	adviceRequests []AdviceRequest
 	pendingAdvice  int
+	adviceTiming   adviceTiming
 	// grantShares are learned by queue.
 	grantShares map[string]*grantShare
 	deferrals   []Deferral
