planner: a step with unusable tickets does not keep the advice service from others

Callers saw jobs wait behind one that could not start: the service is asked for one step at a time, the most urgent one first, and a step whose tickets expire unused was asked for again at once, for ever. An example is a gang of which one member finds no runner.

Every other request goes to the step that has waited longest for its turn, and a step pauses after two answers whose tickets were not used, up to 1.6 s.

TestPattern_UnusableAdviceOfUrgentStep fails before: no other job had started after 10 s.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -17,8 +17,11 @@
 	// ticketMargin is the validity that a ticket must have left for the start to reach
 	// its runner, at most a quarter of the whole.
 	ticketMargin = 300 * time.Millisecond
-	// adviceRetryDelay is the pause after a request without an answer.
-	adviceRetryDelay = 200 * time.Millisecond
+	// adviceRetryDelay is the pause of a step after a request without an answer, or after two answers whose
+	// tickets were not used. It doubles with each further one up to maxAdviceRetryDelay, so that other
+	// steps are served meanwhile.
+	adviceRetryDelay    = 200 * time.Millisecond
+	maxAdviceRetryDelay = 1600 * time.Millisecond
 )
 
 // AdviceRequest asks the advice service which of the runners may run the task's step.
@@ -61,6 +64,10 @@
 	tickets map[string]ticket
 	// denied holds the ids of the runners that may not run the step.
 	denied map[string]bool
+	// requestedAt is when the last request was made. unanswered counts the requests in a row without an
+	// answer, unused the answers with tickets since a task was last started.
+	requestedAt        time.Duration
+	unanswered, unused int
 	// last is the reason for the next request as far as it follows from the last event.
 	last AdviceReason
 }
@@ -110,7 +117,7 @@
 		return
 	}
 	v := s.advice
-	v.last = AdviceDenied
+	v.last, v.unanswered = AdviceDenied, 0
 	p.grantShareOf(s).learn(len(q.Runners), len(tickets))
 	for _, id := range q.Runners {
 		if text, ok := tickets[id]; ok {
@@ -120,6 +127,12 @@
 			v.denied[id] = true
 		}
 	}
+	if v.last == AdviceExpired {
+		v.unused++
+	}
+	if v.unused >= 2 {
+		v.retryAt = now + backoff(adviceRetryDelay, v.unused-2, maxAdviceRetryDelay)
+	}
 }
 
 // AdviceFailed records that a request that was sent at sentAt has no answer. givenUp is set if its timeout had
@@ -129,7 +142,9 @@
 		p.adviceTiming.givenUp(q.figure, now-sentAt)
 	}
 	if s := p.adviceFinished(q); s != nil {
-		s.advice.retryAt, s.advice.last = now+adviceRetryDelay, AdviceUnanswered
+		v := s.advice
+		v.retryAt, v.last = now+backoff(adviceRetryDelay, v.unanswered, maxAdviceRetryDelay), AdviceUnanswered
+		v.unanswered++
 	}
 }
 
@@ -151,3 +166,8 @@
 func ticketExpiry(now, sentAt, validity time.Duration) time.Duration {
 	return max(sentAt+validity, now+validity/2) - min(ticketMargin, validity/4)
 }
+
+// backoff returns a delay that doubles with each of the doublings up to longest.
+func backoff(delay time.Duration, doublings int, longest time.Duration) time.Duration {
+	return min(delay<<min(doublings, 10), longest)
+}
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -246,7 +246,7 @@
 		sentAt := f.now
 		f.now += q.Timeout
 		f.AdviceFailed(f.now, sentAt, q, true)
-		f.now += adviceRetryDelay
+		f.now += maxAdviceRetryDelay
 		q = f.plan().AdviceRequests[0]
 	}
 	test.Len(t, 1, f.answerAfter(q, takes, ticketTime, "i-a").Starts)
@@ -268,3 +268,35 @@
 	}
 	test.LessEq(t, adviceFactor*maxAdviceDelay+adviceSlack, timing.timeout(figure))
 }
+
+// Guards against an urgent step whose tickets cannot be used, here a gang of which one member has no runner, and
+// which kept the service from all other steps.
+func TestPattern_UnusableAdviceOfUrgentStep(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, id := range []string{"a", "b", "c"} {
+		f.agent(id)
+	}
+	gang := step(3)
+	gang.Gang, gang.MaxPerRunner = true, 1
+	urgent := testJob(99, gang)
+	urgent.Queue.Advice = &slowAdvice
+	urgent.Queue.Slack = -time.Minute
+	f.add(urgent, nil, false)
+	const others = 5
+	for n := range others {
+		j := testJob(n, step(1))
+		j.Queue.Advice = &slowAdvice
+		f.add(j, nil, false)
+	}
+	began, started := f.now, 0
+	for orders := f.plan(); started < others; orders = f.plan() {
+		must.Less(t, 10*time.Second, f.now-began)
+		f.now += 50 * time.Millisecond
+		for _, q := range orders.AdviceRequests {
+			sentAt := f.now
+			f.now += q.Expected
+			f.AdviceReceived(f.now, sentAt, q, map[string]string{"i-a": "ticket", "i-b": "ticket"}, ticketTime)
+		}
+		started += len(orders.Starts)
+	}
+}
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -25,14 +25,46 @@
 	granted bool
 }
 
-// requestAdvice queues an advice request for a step, unless the valid tickets suffice for its waiting tasks or a
-// request is pending. It names the eligible runners with the lowest cost, no more than the step is
-// expected to use.
-func (p *Planner) requestAdvice(now time.Duration, s *stepState, opts pickOptions) {
-	v := s.advice
-	if v.pending || p.pendingAdvice >= maxPendingAdvice || now < v.retryAt {
+// adviceCandidate is a step that may need advice after its tasks have been placed.
+type adviceCandidate struct {
+	candidate
+	position int
+	opts     pickOptions
+}
+
+// requestAdvice queues an advice request for one of the candidates, which are in the order of their ranks,
+// unless one is pending. Every other request goes to the step that has waited longest for its turn: urgent
+// steps whose tickets cannot be used would keep the service from all others.
+func (p *Planner) requestAdvice(now time.Duration) {
+	candidates := p.adviceCandidates
+	p.adviceCandidates = candidates[:0]
+	if p.pendingAdvice >= maxPendingAdvice {
 		return
 	}
+	if p.adviceByTurn {
+		slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
+			return cmp.Compare(a.step.advice.requestedAt, b.step.advice.requestedAt)
+		})
+	}
+	for _, c := range candidates {
+		p.currentJob = c.step.job.job.ID
+		p.placing(now, c.position, c.candidate)
+		if p.requestAdviceFor(now, c.step, c.opts) {
+			p.adviceByTurn = !p.adviceByTurn
+			break
+		}
+	}
+	p.currentJob = ""
+}
+
+// requestAdviceFor queues an advice request for a step and returns true, unless the valid tickets suffice for its
+// waiting tasks or no runner may be asked for. It names the eligible runners with the lowest cost, no
+// more than the step is expected to use.
+func (p *Planner) requestAdviceFor(now time.Duration, s *stepState, opts pickOptions) bool {
+	v := s.advice
+	if v.pending || now < v.retryAt || s.waitingTasks == 0 {
+		return false
+	}
 	options, covered := p.adviceOptions(now, s, opts)
 	if len(options) == 0 && opts.excludeEjected && p.mayUseEjected(now, s) {
 		opts.excludeEjected = false
@@ -44,15 +76,16 @@
 		covered = 0
 	}
 	if covered >= wanted || len(options) == 0 {
-		return
+		return false
 	}
 	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}, Reason: v.reason(now)}
 	q.Runners = p.chooseForAdvice(s, options, wanted-covered)
 	q.figure = s.job.job.Queue.Advice.Duration(len(q.Runners))
 	q.Expected, q.Timeout = p.adviceTiming.expected(q.figure), p.adviceTiming.timeout(q.figure)
-	v.pending = true
+	v.pending, v.requestedAt = true, now
 	p.pendingAdvice++
 	p.adviceRequests = append(p.adviceRequests, q)
+	return true
 }
 
 // adviceOptions returns the runners on which tasks of the step could start now but for a ticket, and for how many
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -251,6 +251,7 @@
 	excludeEjected := p.excludesEjected(now)
 	p.refreshReservations(now, candidates)
 	p.startCandidates(now, candidates, excludeEjected)
+	p.requestAdvice(now)
 	p.placingEnds()
 	p.reserve(now)
 	p.planCopies(now, excludeEjected)
@@ -356,6 +357,7 @@
 		RunnerID: a.runner.ID, StartTime: a.runner.StartTime,
 	}
 	if s.advice != nil {
+		s.advice.unused = 0
 		o.Ticket = s.advice.tickets[a.runner.ID].text
 	}
 	return o
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -83,6 +83,9 @@
 	adviceRequests []AdviceRequest
 	pendingAdvice  int
 	adviceTiming   adviceTiming
+	// adviceCandidates are collected during a plan. adviceByTurn is set if the next request goes by turn.
+	adviceCandidates []adviceCandidate
+	adviceByTurn     bool
 	// grantShares are learned by queue.
 	grantShares map[string]*grantShare
 	deferrals   []Deferral
