planner: call an advice service that fails less and less often

While the service refused calls or could not be reached, each waiting step called it every 200 ms, one after the other without a pause: with many steps the leader called as fast as the network answers, and kept a service that was overloaded (429) busy.

After a failed call no step calls for 50 ms, twice as long after each further one, up to 800 ms; a step of its own pauses from 200 ms up to 1.6 s. The first answer ends it.

TestPattern_AdviceServiceRefusesAll, 100 steps for 10 s of virtual time with a plan every 10 ms: more than 20 calls before (fails), at most 20 now.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -22,6 +22,10 @@
 	// steps are served meanwhile.
 	adviceRetryDelay    = 200 * time.Millisecond
 	maxAdviceRetryDelay = 1600 * time.Millisecond
+	// serviceRetryDelay is the pause of all steps after a request without an answer. It doubles with each
+	// further one up to maxServiceRetryDelay.
+	serviceRetryDelay    = 50 * time.Millisecond
+	maxServiceRetryDelay = 800 * time.Millisecond
 )
 
 // AdviceRequest asks the advice service which of the runners may run the task's step.
@@ -112,6 +116,7 @@
 // runner id, of the runners that may run the step, and how long they are valid.
 func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, tickets map[string]string, validity time.Duration) {
 	p.adviceTiming.answered(q.figure, now-sentAt)
+	p.adviceFailures = 0
 	s := p.adviceFinished(q)
 	if s == nil {
 		return
@@ -141,6 +146,8 @@
 	if givenUp {
 		p.adviceTiming.givenUp(q.figure, now-sentAt)
 	}
+	p.adviceRetryAt = now + backoff(serviceRetryDelay, p.adviceFailures, maxServiceRetryDelay)
+	p.adviceFailures++
 	if s := p.adviceFinished(q); s != nil {
 		v := s.advice
 		v.retryAt, v.last = now+backoff(adviceRetryDelay, v.unanswered, maxAdviceRetryDelay), AdviceUnanswered
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -300,3 +300,21 @@
 		started += len(orders.Starts)
 	}
 }
+
+// Guards against calls at the pace of the network to a service that refuses them all: each step had a pause of
+// its own only.
+func TestPattern_AdviceServiceRefusesAll(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	for n := range 100 {
+		f.advisedJob(n, step(1))
+	}
+	calls := 0
+	for began := f.now; f.now-began < 10*time.Second; f.now += 10 * time.Millisecond {
+		for _, q := range f.plan().AdviceRequests {
+			calls++
+			f.AdviceFailed(f.now, f.now, q, false)
+		}
+	}
+	test.LessEq(t, 20, calls)
+}
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -38,7 +38,7 @@
 func (p *Planner) requestAdvice(now time.Duration) {
 	candidates := p.adviceCandidates
 	p.adviceCandidates = candidates[:0]
-	if p.pendingAdvice >= maxPendingAdvice {
+	if p.pendingAdvice >= maxPendingAdvice || now < p.adviceRetryAt {
 		return
 	}
 	if p.adviceByTurn {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -86,6 +86,9 @@
 	// adviceCandidates are collected during a plan. adviceByTurn is set if the next request goes by turn.
 	adviceCandidates []adviceCandidate
 	adviceByTurn     bool
+	// adviceRetryAt is when the service is called again after adviceFailures failed requests in a row.
+	adviceRetryAt  time.Duration
+	adviceFailures int
 	// grantShares are learned by queue.
 	grantShares map[string]*grantShare
 	deferrals   []Deferral
