planner: a late rejection of an old ticket does not drop the new one

Starts of several tasks with the same expired ticket are rejected one after the other. The first rejection makes the step ask again; one that came after the answer dropped the new ticket, and the step asked once more, in the worst case after each answer.

A rejection counts for the ticket with which its start was ordered.

TestPlanner_OldTicketRejectedAfterNewOne fails before (0 of 3 starts, and another request).

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -78,20 +78,23 @@
 
 // ticket allows a runner to run the step. It stays known after it has expired, since grants do not change.
 type ticket struct {
-	text      string
-	expiresAt time.Duration
+	text                  string
+	receivedAt, expiresAt time.Duration
 }
 
 func newAdvice() *advice {
 	return &advice{tickets: map[string]ticket{}, denied: map[string]bool{}, last: AdviceFirst}
 }
 
-// ticketRejected records that the runner rejected a start for its ticket.
-func (v *advice) ticketRejected(runnerID string) {
-	if t, ok := v.tickets[runnerID]; ok {
-		t.expiresAt = 0
-		v.tickets[runnerID] = t
+// ticketRejected records that the runner rejected, for its ticket, a start that was ordered at orderedAt. A
+// ticket that was received later stays valid.
+func (v *advice) ticketRejected(orderedAt time.Duration, runnerID string) {
+	t, ok := v.tickets[runnerID]
+	if !ok || t.receivedAt > orderedAt {
+		return
 	}
+	t.expiresAt = 0
+	v.tickets[runnerID] = t
 	v.last = AdviceRejected
 }
 
@@ -127,7 +130,7 @@
 	for _, id := range q.Runners {
 		if text, ok := tickets[id]; ok {
 			v.last = AdviceExpired
-			v.tickets[id] = ticket{text: text, expiresAt: ticketExpiry(now, sentAt, validity)}
+			v.tickets[id] = ticket{text: text, receivedAt: now, expiresAt: ticketExpiry(now, sentAt, validity)}
 		} else {
 			v.denied[id] = true
 		}
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -318,3 +318,21 @@
 	}
 	test.LessEq(t, 20, calls)
 }
+
+// Guards against late rejections of starts with an old ticket that drop the ticket which has come since.
+func TestPlanner_OldTicketRejectedAfterNewOne(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.advisedJob(1, step(3))
+	f.answer(f.plan().AdviceRequests[0], "i-a")
+	starts := f.plan().Starts
+	must.Len(t, 3, starts)
+	f.now += 10 * time.Millisecond
+	f.StartRefused(f.now, "a", starts[0].Run, RefusedTicket)
+	f.answer(f.plan().AdviceRequests[0], "i-a")
+	f.StartRefused(f.now, "a", starts[1].Run, RefusedTicket)
+	f.StartRefused(f.now, "a", starts[2].Run, RefusedTicket)
+	orders := f.plan()
+	test.Len(t, 3, orders.Starts)
+	test.Len(t, 0, orders.AdviceRequests)
+}
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -191,7 +191,7 @@
 		a.health.backoffUntil = now + capacityBackoff
 	case reason == RefusedTicket && r.step.advice != nil && a.runner != nil:
 		// The ticket was issued for another incarnation of the runner, or expired in transit.
-		r.step.advice.ticketRejected(a.runner.ID)
+		r.step.advice.ticketRejected(r.orderedAt, a.runner.ID)
 	case reason == RefusedLate:
 		// The delay was in transit; the runner's health is unaffected.
 	default:
