planner: ask for advice only when a task can start by the answer

A step whose tasks wait for their retry asked for advice at once. Short tickets expired before the retry was due, and the service answered the step again and again meanwhile.

A request is made, and sized, for the tasks that may start by its answer.

TestPattern_AdviceDuringRetryDelay fails before (7 requests for 6 starts; the pause after unused answers hides more).

--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -336,3 +336,30 @@
 	test.Len(t, 3, orders.Starts)
 	test.Len(t, 0, orders.AdviceRequests)
 }
+
+// Guards against tickets that expire while the step's task waits for its retry: the step asked at once, and
+// again after each answer.
+func TestPattern_AdviceDuringRetryDelay(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	j := testJob(1, step(1))
+	j.Queue.MaxAttempts = 9
+	j.Queue.Advice = &job.Advice{Decide: 20 * time.Millisecond, Each: time.Millisecond, Valid: 100 * time.Millisecond}
+	f.add(j, nil, false)
+	requests, failures := 0, 0
+	for began := f.now; failures < 6; f.now += 10 * time.Millisecond {
+		must.Less(t, 10*time.Second, f.now-began)
+		orders := f.plan()
+		for _, q := range orders.AdviceRequests {
+			requests++
+			sentAt := f.now
+			f.now += q.Expected
+			f.AdviceReceived(f.now, sentAt, q, map[string]string{"i-a": "ticket"}, 100*time.Millisecond)
+		}
+		for _, s := range orders.Starts {
+			failures++
+			f.end(s.Agent, s.Run, job.EndFailed)
+		}
+	}
+	test.LessEq(t, failures, requests, test.Sprint("one answer for each start"))
+}
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -62,7 +62,11 @@
 // more than the step is expected to use.
 func (p *Planner) requestAdviceFor(now time.Duration, s *stepState, opts pickOptions) bool {
 	v := s.advice
-	if v.pending || now < v.retryAt || s.waitingTasks == 0 {
+	if v.pending || now < v.retryAt {
+		return false
+	}
+	wanted := s.tasksReadyBy(now + p.adviceDuration(s, 1))
+	if wanted == 0 {
 		return false
 	}
 	options, covered := p.adviceOptions(now, s, opts)
@@ -70,7 +74,6 @@
 		opts.excludeEjected = false
 		options, covered = p.adviceOptions(now, s, opts)
 	}
-	wanted := s.waitingTasks
 	if s.step.Gang && covered < wanted {
 		// The members need tickets that are valid at the same time.
 		covered = 0
@@ -88,6 +91,20 @@
 	return true
 }
 
+// tasksReadyBy returns how many tasks of the step may start by a time; all or none of a gang.
+func (s *stepState) tasksReadyBy(at time.Duration) int {
+	ready := 0
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.waiting && t.notBefore <= at {
+			ready++
+		}
+	}
+	if s.step.Gang && ready < len(s.tasks) {
+		return 0
+	}
+	return ready
+}
+
 // adviceOptions returns the runners on which tasks of the step could start now but for a ticket, and for how many
 // tasks the others, which have a valid one, have room. For a gang it returns the others, too.
 func (p *Planner) adviceOptions(now time.Duration, s *stepState, opts pickOptions) (options []adviceOption, covered int) {
