planner: starts and advice requests outlast a panic in their plan

A plan that panicked while it computed speed limits lost the starts and the advice request that it had chosen before. The request counted as pending for the rest of the term, and as one is pending at a time, no step of a queue with a policy got a ticket any more.

Both are handed over as the last step of a plan; after a panic the next one starts the tasks and makes the request.

TestPlanner_InterruptedPlanAfterRequest fails before (0 starts, 0 requests in the next plan).

--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// Guards against a plan that panics after it has chosen what to start and to ask the advice service: the starts were
+// lost, and no step got advice any more, since the lost request counted as pending.
+func TestPlanner_InterruptedPlanAfterRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.add(testJob(1, step(1)), nil, false)
+	f.advisedJob(2, step(1))
+	a := f.agents["a"]
+	a.runs[job.Run{}] = &run{agent: a} // makes Plan panic when it computes speed limits
+	must.NotNil(t, f.planPanic())
+	delete(a.runs, job.Run{})
+	orders := f.plan()
+	test.Len(t, 1, orders.Starts)
+	test.Len(t, 1, orders.AdviceRequests)
+}
+
 // A plan is interrupted by a panic, and an agent reports its runs before the next plan. The runs
 // that the interrupted plan added there are dropped, so their starts must not be ordered as well
 // as those that replace them.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -97,17 +97,20 @@
 	var orders Orders
 	if mayStart {
 		p.planStarts(now.Mono)
-		orders.Starts, p.starts = p.starts, nil
-		for _, o := range orders.Starts {
-			p.agents[o.Agent].runs[o.Run].planned = false
-		}
-		orders.AdviceRequests, p.adviceRequests = p.adviceRequests, nil
 	}
 	orders.Stops, p.stops = p.stops, nil
 	orders.Deferrals, p.deferrals = p.deferrals, nil
 	p.lookahead.report(&orders)
 	orders.Copies, p.copies.counts = p.copies.counts, CopyCounts{}
 	orders.Throttles = p.throttles(now.Mono)
+	if mayStart {
+		// Last, since what is handed over here would be lost in a panic.
+		orders.Starts, p.starts = p.starts, nil
+		for _, o := range orders.Starts {
+			p.agents[o.Agent].runs[o.Run].planned = false
+		}
+		orders.AdviceRequests, p.adviceRequests = p.adviceRequests, nil
+	}
 	return orders
 }
 
