platform, planner: read incomplete answers of the advice service for what they say

Runners whose entry in an answer could not be read counted as denied for the rest of the step: with the only allowed runner among them it never started. An answer without validMs gave tickets that were never used.

An answer in which entries cannot be read denies nobody.

TestPattern_IncompleteAdvice fails before (no further request); TestPattern_AdviceWithoutValidity, run alone, too.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -72,6 +72,16 @@
 // Duration returns how long an answer on n runners takes.
 func (a *Advice) Duration(n int) time.Duration { return a.Decide + time.Duration(n)*a.Each }
 
+// AdviceAnswer is an answer of the advice service to a request on some runners.
+type AdviceAnswer struct {
+	// Tickets are those of the runners that may run the step, by runner id.
+	Tickets map[string]string
+	// Validity is how long the tickets are valid, 0 if the answer does not say it.
+	Validity time.Duration
+	// Incomplete is set if some of the answer could not be read: runners without a ticket may be allowed.
+	Incomplete bool
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	Tasks int `json:"tasks"`
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/apex/log"
 
+	"bamboowood/internal/job"
 	"bamboowood/internal/planner"
 )
 
@@ -29,37 +29,37 @@
 	logger := r.opts.Logger.WithFields(log.Fields{
 		"step": req.Task.StepName(), "runners": len(req.Runners), "reason": string(req.Reason),
 	})
-	tickets, valid, result := r.advise(req, logger)
+	answer, result := r.advise(req, logger)
 	now := r.opts.Now()
 	countAdvice(req.Reason, result)
 	logger.WithFields(log.Fields{
-		"granted": len(tickets), "expected_ms": req.Expected.Milliseconds(), "valid_ms": valid.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(), "result": string(result),
+		"granted": len(answer.Tickets), "expected_ms": req.Expected.Milliseconds(), "valid_ms": answer.Validity.Milliseconds(), "took_ms": (now - requestedAt).Milliseconds(), "result": string(result),
 	}).Info("advice request finished")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if result == adviceAnswered {
-		r.planner.AdviceReceived(now, requestedAt, req, tickets, valid)
+		r.planner.AdviceReceived(now, requestedAt, req, answer)
 	} else {
 		r.planner.AdviceFailed(now, requestedAt, req, result == adviceGivenUp)
 	}
 	r.signalChange()
 }
 
-// advise returns the tickets by runner and how long they are valid.
-func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (map[string]string, time.Duration, adviceResult) {
+// advise calls the advice service. The answer is empty unless the result is adviceAnswered.
+func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (job.AdviceAnswer, adviceResult) {
 	if r.opts.Advisor == nil {
 		logger.Error("queue requires advice but no advice service is configured")
-		return nil, 0, adviceFailed
+		return job.AdviceAnswer{}, adviceFailed
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, req.Timeout)
 	defer cancel()
-	tickets, valid, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
+	answer, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
 	if err != nil {
 		adviceFailures.Inc()
 		logger.WithError(err).Warn("advice request failed")
-		return nil, 0, adviceErrorResult(r.ctx, ctx)
+		return job.AdviceAnswer{}, adviceErrorResult(r.ctx, ctx)
 	}
-	return tickets, valid, adviceAnswered
+	return answer, adviceAnswered
 }
 
 // adviceErrorResult returns how a request with the context request failed, in a term with the context term.
--- a/internal/leader/advice_test.go
+++ b/internal/leader/advice_test.go
@@ -24,25 +24,25 @@
 	calls int
 }
 
-func (s *serialAdvisor) Advise(ctx context.Context, _ job.Task, runners []string) (map[string]string, time.Duration, error) {
+func (s *serialAdvisor) Advise(ctx context.Context, _ job.Task, runners []string) (job.AdviceAnswer, error) {
 	s.turn.Lock()
 	defer s.turn.Unlock()
 	if ctx.Err() != nil {
-		return nil, 0, ctx.Err()
+		return job.AdviceAnswer{}, ctx.Err()
 	}
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return job.AdviceAnswer{}, ctx.Err()
 	case <-time.After(s.duration):
 	}
 	tickets := map[string]string{}
 	for _, id := range runners {
 		tickets[id] = "ticket"
 	}
-	return tickets, s.valid, nil
+	return job.AdviceAnswer{Tickets: tickets, Validity: s.valid}, nil
 }
 
 // Guards against steps that stand still after a burst of submissions: requests for advice were given up, and
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -90,9 +90,9 @@
 }
 
 // Advisor is a client of the advice service, which decides which of the runners may run the
-// task's step. Advise returns their tickets by runner and how long the tickets are valid.
+// task's step.
 type Advisor interface {
-	Advise(ctx context.Context, t job.Task, runners []string) (tickets map[string]string, valid time.Duration, err error)
+	Advise(ctx context.Context, t job.Task, runners []string) (job.AdviceAnswer, error)
 }
 
 // Leader takes part in the leader election and runs the planner while it leads. It is safe
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"bamboowood/internal/job"
@@ -69,7 +70,7 @@
 	// denied holds the ids of the runners that may not run the step.
 	denied map[string]bool
 	// requestedAt is when the last request was made. unanswered counts the requests in a row without an
-	// answer, unused the answers with tickets since a task was last started.
+	// answer, unused the answers since a task was last started, apart from those that denied all runners.
 	requestedAt        time.Duration
 	unanswered, unused int
 	// last is the reason for the next request as far as it follows from the last event.
@@ -115,9 +116,8 @@
 	return now < v.tickets[runnerID].expiresAt
 }
 
-// AdviceReceived applies the answer to a request that was sent at sentAt: the tickets, by
-// runner id, of the runners that may run the step, and how long they are valid.
-func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, tickets map[string]string, validity time.Duration) {
+// AdviceReceived applies the answer to a request that was sent at sentAt.
+func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, answer job.AdviceAnswer) {
 	p.adviceTiming.answered(q.figure, now-sentAt)
 	p.adviceFailures = 0
 	s := p.adviceFinished(q)
@@ -126,16 +126,21 @@
 	}
 	v := s.advice
 	v.last, v.unanswered = AdviceDenied, 0
-	p.grantShareOf(s).learn(len(q.Runners), len(tickets))
+	granted := 0
+	expiresAt := ticketExpiry(now, sentAt, cmp.Or(answer.Validity, s.ticketValidity()))
 	for _, id := range q.Runners {
-		if text, ok := tickets[id]; ok {
+		if text, ok := answer.Tickets[id]; ok {
+			granted++
 			v.last = AdviceExpired
-			v.tickets[id] = ticket{text: text, receivedAt: now, expiresAt: ticketExpiry(now, sentAt, validity)}
-		} else {
+			v.tickets[id] = ticket{text: text, receivedAt: now, expiresAt: expiresAt}
+		} else if !answer.Incomplete {
 			v.denied[id] = true
 		}
 	}
-	if v.last == AdviceExpired {
+	if !answer.Incomplete {
+		p.grantShareOf(s).learn(len(q.Runners), granted)
+	}
+	if granted > 0 || answer.Incomplete {
 		v.unused++
 	}
 	if v.unused >= 2 {
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -26,7 +26,7 @@
 	for _, id := range runners {
 		tickets[id] = "ticket of " + id
 	}
-	f.AdviceReceived(f.now, f.now, q, tickets, ticketTime)
+	f.AdviceReceived(f.now, f.now, q, job.AdviceAnswer{Tickets: tickets, Validity: ticketTime})
 }
 
 // answerAfter allows the named runners with tickets of a validity, some time after the request, and plans.
@@ -37,7 +37,7 @@
 	}
 	sentAt := f.now
 	f.now += took
-	f.AdviceReceived(f.now, sentAt, q, tickets, validity)
+	f.AdviceReceived(f.now, sentAt, q, job.AdviceAnswer{Tickets: tickets, Validity: validity})
 	return f.plan()
 }
 
@@ -295,7 +295,7 @@
 		for _, q := range orders.AdviceRequests {
 			sentAt := f.now
 			f.now += q.Expected
-			f.AdviceReceived(f.now, sentAt, q, map[string]string{"i-a": "ticket", "i-b": "ticket"}, ticketTime)
+			f.AdviceReceived(f.now, sentAt, q, job.AdviceAnswer{Tickets: map[string]string{"i-a": "ticket", "i-b": "ticket"}, Validity: ticketTime})
 		}
 		started += len(orders.Starts)
 	}
@@ -354,7 +354,7 @@
 			requests++
 			sentAt := f.now
 			f.now += q.Expected
-			f.AdviceReceived(f.now, sentAt, q, map[string]string{"i-a": "ticket"}, 100*time.Millisecond)
+			f.AdviceReceived(f.now, sentAt, q, job.AdviceAnswer{Tickets: map[string]string{"i-a": "ticket"}, Validity: 100*time.Millisecond})
 		}
 		for _, s := range orders.Starts {
 			failures++
@@ -363,3 +363,30 @@
 	}
 	test.LessEq(t, failures, requests, test.Sprint("one answer for each start"))
 }
+
+// Guards against steps that never start because some entries of an answer cannot be read: the runners without a
+// ticket counted as denied.
+func TestPattern_IncompleteAdvice(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	f.advisedJob(1, step(1))
+	for range 3 {
+		f.AdviceReceived(f.now, f.now, f.plan().AdviceRequests[0], job.AdviceAnswer{Tickets: map[string]string{"i-b": "ticket"}, Incomplete: true})
+		f.now += maxAdviceRetryDelay
+	}
+	f.answer(f.plan().AdviceRequests[0], "i-a")
+	test.Len(t, 1, f.plan().Starts)
+}
+
+// Guards against steps that never start because the answer does not say how long its tickets are valid.
+func TestPattern_AdviceWithoutValidity(t *testing.T) {
+	for _, inQueue := range []time.Duration{0, ticketTime} {
+		f := newFixture(t, 1)
+		f.agent("a")
+		j := testJob(1, step(1))
+		j.Queue.Advice = &job.Advice{Valid: inQueue}
+		f.add(j, nil, false)
+		q := f.plan().AdviceRequests[0]
+		test.Len(t, 1, f.answerAfter(q, 10*time.Millisecond, 0, "i-a").Starts, test.Sprint(inQueue))
+	}
+}
