daemon: a process works on while another program has the port of its metrics

Trace: 'listen tcp 127.28.1.1:9464: bind: address already in use' in the logs of its processes, which end: two cases at the same time had drawn the same loopback network of 200. All their ports are chosen for each run but the one of the metrics.

The platform keeps no port free for metrics, and a process does not need them for its work. It logs a warning, tries again each second and serves meanwhile.

TestPlatform_MetricsPortInUse fails before: the entry ends.

--- a/internal/daemon/actors.go
+++ b/internal/daemon/actors.go
@@ -97,6 +97,21 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	a.serveOn(ln, name, maxConns, handler)
+	return nil
+}
+
+// serveWhenFree is like serve, but the address may be in use at first.
+func (a *actors) serveWhenFree(name, address string, maxConns int, handler http.Handler) error {
+	ln, err := newRetryListener(address, a.logger.WithField("server", name))
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	a.serveOn(ln, name, maxConns, handler)
+	return nil
+}
+
+func (a *actors) serveOn(ln net.Listener, name string, maxConns int, handler http.Handler) {
 	s := &server{name: name, listener: ingress.Listen(ln, name, maxConns, a.report), closed: make(chan struct{})}
 	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout, idleTimeout
 	s.BaseContext = func(net.Listener) context.Context { return a.requests }
@@ -107,7 +122,6 @@
 	})
 	ingress.Configure(&s.Server)
 	a.servers = append(a.servers, s)
-	return nil
 }
 
 // beginShutdown starts the grace period, unless it has started already.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -272,10 +272,12 @@
 	})
 }
 
+// addMetrics adds the metrics endpoint. Its port is not among those that the platform keeps free for the
+// process, which works without it while another program has it.
 func (n *PlatformNode) addMetrics(a *actors, limits ingress.Limits) error {
 	handler := http.NewServeMux()
 	handler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return a.serve("metrics", net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), limits.Probes, handler)
+	return a.serveWhenFree("metrics", net.JoinHostPort(n.node.IP, fmt.Sprint(metricsPort)), limits.Probes, handler)
 }
 
 // addSettingsWatch adds an actor that reads the settings file on SIGHUP and at an interval, and
