leader, follower: agents call the advice service, too

A burst of steps that need advice waited for one call after the other of the leader's machine, although the service handles a call of each machine at a time: with 1 s a call, 12 jobs needed 12 s.

The leader makes the first call itself. While it is pending, further steps are asked for through agents, one call each, on streams of their sessions. Agents say that they have an advice service; those of earlier versions do not, and get no calls.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// advisor returns the client of the advice service, nil if none is configured.
+func (n *PlatformNode) advisor() leader.Advisor {
+	if n.node.AdviceAddress == "" {
+		return nil
+	}
+	return platform.NewAdvisor(n.node.AdviceAddress)
+}
+
 // leaseDuration returns the duration of the agents' leases.
 func (n *PlatformNode) leaseDuration() time.Duration {
 	return min(time.Duration(leaseFraction*float64(n.node.Bounds.MaxLease)), maxLease)
@@ -179,15 +187,11 @@
 		Store: storeMonitor, Bulk: bulk, Logger: n.logger, Table: platform.OperatorTable, Decode: platform.ApplyOperatorRow,
 		Now: boottime.Now,
 	}
-	var advisor leader.Advisor
-	if n.node.AdviceAddress != "" {
-		advisor = platform.NewAdvisor(n.node.AdviceAddress)
-	}
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
 	jobLeader := leader.New(leader.Options{
 		JobMemory: limits.Jobs, Peers: ingress.NewPool(limits.Messages), Report: a.report,
-		Advisor: advisor,
+		Advisor: n.advisor(),
 		Ledger:  jobLedger, CallersLedger: callersLedger, Logger: n.logger, Address: n.advertisedAddress(), Process: uuid.NewString(),
 		Site: siteWatcher.State, SettingsAge: siteWatcher.ReadAge, Snapshot: siteWatcher.Snapshot, Now: boottime.Now, LeaseDuration: n.leaseDuration(), LinkRate: n.node.LinkRate,
 		EvacuationDeadline: n.node.Bounds.EvacuationDeadline, CancelDeadline: n.node.Bounds.CancelDeadline,
@@ -326,7 +330,7 @@
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
 	agentFollower := follower.New(follower.Options{
-		Peers: ingress.NewPool(limits.Messages), Report: a.report,
+		Peers: ingress.NewPool(limits.Messages), Report: a.report, Advisor: n.advisor(),
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
 		Boot: jobLedger.NewBootRegistration(n.node.IP, n.node.Name+"/"+boottime.MachineID(), boottime.BootID(), boottime.Now),
 		Name: n.node.IP, Address: n.advertisedAddress(), Now: boottime.Now,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,8 @@
 	// end before a valid message.
 	Peers  *ingress.Pool
 	Report *ingress.Report
+	// Advisor is the advice service, which is called for the leader; nil if none is configured.
+	Advisor Advisor
 }
 
 // Follower serves the leader's sessions for one agent.
@@ -154,6 +156,11 @@
 		defer func() { _ = session.Close() }()
 		_ = contain.Do(f.opts.Logger, "messages to the leader", func() error { f.sendLoop(sendCtx, session, stream); return nil })
 	}()
+	if f.opts.Advisor != nil {
+		go func() {
+			_ = contain.Do(f.opts.Logger, "advice calls", func() error { return f.serveAdvice(sendCtx, session) })
+		}()
+	}
 	return f.receiveLoop(ctx, session, stream)
 }
 
@@ -328,7 +335,7 @@
 	}
 	u, ok := f.opts.Supervisor.Snapshot()
 	m = message(u)
-	m.Snapshot = ok
+	m.Snapshot, m.Advises = ok, f.opts.Advisor != nil
 	m.UnlistedRunsMs, m.MoreEnds = u.UnlistedFor.Milliseconds(), u.MoreEnds
 	return m, ok, true
 }
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -22,14 +22,17 @@
 	adviceAborted adviceResult = "aborted"
 )
 
-// requestAdvice sends an advice request of the planner to the advice service and passes the
-// answer back.
-func (r *leadership) requestAdvice(req planner.AdviceRequest) {
+// requestAdvice sends an advice request of the planner to the advice service, through an agent unless that is nil,
+// and passes the answer back.
+func (r *leadership) requestAdvice(req planner.AdviceRequest, agent *agentConn) {
 	requestedAt := r.opts.Now()
 	logger := r.opts.Logger.WithFields(log.Fields{
 		"step": req.Task.StepName(), "runners": len(req.Runners), "reason": string(req.Reason),
 	})
-	answer, result := r.advise(req, logger)
+	if agent != nil {
+		logger = logger.WithField("agent", agent.id)
+	}
+	answer, result := r.advise(req, agent, logger)
 	now := r.opts.Now()
 	countAdvice(req.Reason, result)
 	logger.WithFields(log.Fields{
@@ -37,23 +40,30 @@
 	}).Info("advice request finished")
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.releaseAdviceCaller(now, agent, result)
 	if result == adviceAnswered {
 		r.planner.AdviceReceived(now, requestedAt, req, answer)
 	} else {
-		r.planner.AdviceFailed(now, requestedAt, req, result == adviceGivenUp)
+		// An agent that cannot reach the service does not show that the service is slow.
+		r.planner.AdviceFailed(now, requestedAt, req, result == adviceGivenUp && agent == nil)
 	}
 	r.signalChange()
 }
 
 // advise calls the advice service. The answer is empty unless the result is adviceAnswered.
-func (r *leadership) advise(req planner.AdviceRequest, logger log.Interface) (job.AdviceAnswer, adviceResult) {
-	if r.opts.Advisor == nil {
+func (r *leadership) advise(req planner.AdviceRequest, agent *agentConn, logger log.Interface) (answer job.AdviceAnswer, result adviceResult) {
+	if agent == nil && r.opts.Advisor == nil {
 		logger.Error("queue requires advice but no advice service is configured")
-		return job.AdviceAnswer{}, adviceFailed
+		return answer, adviceFailed
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, req.Timeout)
 	defer cancel()
-	answer, err := r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
+	var err error
+	if agent != nil {
+		answer, err = agent.advise(ctx, req)
+	} else {
+		answer, err = r.opts.Advisor.Advise(ctx, req.Task, req.Runners)
+	}
 	if err != nil {
 		adviceFailures.Inc()
 		logger.WithError(err).Warn("advice request failed")
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -53,6 +53,8 @@
 	// reservedRoom holds the memory of jobs that entries are about to accept, by id.
 	reservedRoom map[string]reservation
 	budget       budget
+	// ownAdviceCalls counts the calls of the advice service that this process makes.
+	ownAdviceCalls int
 	// planPanics counts consecutive plans that panicked while no job was handled.
 	planPanics int
 	// overTargetLoggedAt is when tasks over their target were last logged.
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -74,6 +74,7 @@
 	// buffered holds the messages received before the planner was recovered from the ledger or
 	// while the agent was not registered.
 	buffered []*wirepb.AgentMessage
+	advice   adviceCaller
 
 	outMu sync.Mutex
 	out   *wirepb.LeaderMessage
@@ -186,6 +187,9 @@
 			return false, err
 		}
 		connected = connected || m.Snapshot
+		if m.Advises {
+			c.acceptAdviceCalls(session)
+		}
 		if err := stream.SetDeadline(time.Now().Add(agentSilenceTimeout)); err != nil {
 			return connected, err
 		}
@@ -276,7 +280,7 @@
 	c.outMu.Lock()
 	c.out = nil
 	c.outMu.Unlock()
-	c.buffered = nil
+	c.buffered, c.advice.session = nil, nil
 	if c.inSession {
 		c.inSession, c.lostSince = false, r.opts.Now()
 	}
--- a/internal/leader/norunner_test.go
+++ b/internal/leader/norunner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 
 // runAgentWithoutRunner runs an agent's process whose runner's address refuses connections, until the test
 // ends. The agent is registered already.
-func runAgentWithoutRunner(t *testing.T, jobLedger *ledger.Ledger, name, bootID string, lease time.Duration) {
+func runAgentWithoutRunner(t *testing.T, jobLedger *ledger.Ledger, name, bootID string, lease time.Duration, advisor follower.Advisor) (stop func()) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), name, ln.Addr().String()))
@@ -31,7 +32,7 @@
 		SteadyNow: func() time.Duration { return time.Since(started) }, MaxLease: lease, FirstToken: 1,
 	})
 	f := follower.New(follower.Options{
-		Supervisor: s, Ledger: jobLedger, Logger: logger, Name: name, Address: ln.Addr().String(), Now: boottime.Now,
+		Supervisor: s, Ledger: jobLedger, Logger: logger, Advisor: advisor, Name: name, Address: ln.Addr().String(), Now: boottime.Now,
 		Boot: jobLedger.NewBootRegistration(name, "vm", bootID, boottime.Now),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -42,12 +43,14 @@
 			done <- struct{}{}
 		}()
 	}
-	t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		for range cap(done) {
 			<-done
 		}
 	})
+	t.Cleanup(stop)
+	return stop
 }
 
 // startBesideAgentWithoutRunner returns how long after the begin of its term a leader starts a recovered job
@@ -60,7 +63,7 @@
 	b := newFakeAgent(t)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
 	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
-	runAgentWithoutRunner(t, jobLedger, "a", bootID, 5*time.Second)
+	runAgentWithoutRunner(t, jobLedger, "a", bootID, 5*time.Second, nil)
 	began := boottime.Now()
 	runLeader(t, jobLedger)
 	return b.await(t, hasStarts).at - began
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -43,6 +43,7 @@
 	r.readSettings()
 	began := time.Now()
 	r.planner.SetStartBudget(r.budget.remaining(now))
+	r.planner.SetAdviceCallers(r.adviceCallers(now))
 	orders, err := r.planOnce(now)
 	if err != nil {
 		return now, err
@@ -77,7 +78,8 @@
 		}).Info("job deferred; not all jobs can meet their objectives")
 	}
 	for _, req := range orders.AdviceRequests {
-		r.run("advice", func() error { r.requestAdvice(req); return nil })
+		agent := r.claimAdviceCaller(now)
+		r.run("advice", func() error { r.requestAdvice(req, agent); return nil })
 	}
 	for _, o := range orders.Starts {
 		r.conns[o.Agent].start(o)
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -11,10 +11,6 @@
 	// maxRunnersPerRequest bounds the runners in one advice request. The users' objectives
 	// allow for one request on 30 runners per step.
 	maxRunnersPerRequest = 30
-	// maxPendingAdvice bounds the requests without an answer. The service processes them one at
-	// a time: further ones would only wait there while they and their tickets expire, and the
-	// most urgent step would wait behind them.
-	maxPendingAdvice = 1
 	// ticketMargin is the validity that a ticket must have left for the start to reach
 	// its runner, at most a quarter of the whole.
 	ticketMargin = 300 * time.Millisecond
@@ -116,6 +112,11 @@
 	return now < v.tickets[runnerID].expiresAt
 }
 
+// SetAdviceCallers sets the number of callers of the advice service. It handles one request of each at a time:
+// further ones would only wait there while they and their tickets expire, and the most urgent step would
+// wait behind them.
+func (p *Planner) SetAdviceCallers(n int) { p.adviceCallers = n }
+
 // AdviceReceived applies the answer to a request that was sent at sentAt.
 func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, answer job.AdviceAnswer) {
 	p.adviceTiming.answered(q.figure, now-sentAt)
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -110,7 +110,7 @@
 	urgent.Queue.Slack = -time.Second
 	f.add(urgent, nil, false)
 	requests := f.plan().AdviceRequests
-	must.Len(t, maxPendingAdvice, requests)
+	must.Len(t, 1, requests)
 	test.Eq(t, urgent.ID, requests[0].Task.Job)
 	f.answer(requests[0], "i-a")
 	must.Len(t, 1, f.plan().AdviceRequests)
@@ -354,7 +354,7 @@
 			requests++
 			sentAt := f.now
 			f.now += q.Expected
-			f.AdviceReceived(f.now, sentAt, q, job.AdviceAnswer{Tickets: map[string]string{"i-a": "ticket"}, Validity: 100*time.Millisecond})
+			f.AdviceReceived(f.now, sentAt, q, job.AdviceAnswer{Tickets: map[string]string{"i-a": "ticket"}, Validity: 100 * time.Millisecond})
 		}
 		for _, s := range orders.Starts {
 			failures++
@@ -390,3 +390,26 @@
 		test.Len(t, 1, f.answerAfter(q, 10*time.Millisecond, 0, "i-a").Starts, test.Sprint(inQueue))
 	}
 }
+
+// With several callers, as many requests are pending, each for another step.
+func TestPlanner_AdviceCallers(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	for n := range 5 {
+		f.advisedJob(n, step(1))
+	}
+	f.SetAdviceCallers(3)
+	requests := f.plan().AdviceRequests
+	must.Len(t, 3, requests)
+	named := map[string]bool{}
+	for _, q := range requests {
+		named[q.Task.Job] = true
+	}
+	test.MapLen(t, 3, named)
+	must.Len(t, 0, f.plan().AdviceRequests)
+	f.answer(requests[0], "i-a")
+	test.Len(t, 1, f.plan().AdviceRequests)
+	f.SetAdviceCallers(1)
+	f.answer(requests[1], "i-a")
+	test.Len(t, 0, f.plan().AdviceRequests, test.Sprint("two are still pending"))
+}
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -32,29 +32,46 @@
 	opts     pickOptions
 }
 
-// requestAdvice queues an advice request for one of the candidates, which are in the order of their ranks,
-// unless one is pending. Every other request goes to the step that has waited longest for its turn: urgent
-// steps whose tickets cannot be used would keep the service from all others.
+// requestAdvice queues advice requests for the candidates, which are in the order of their ranks, as many as
+// there are callers without one. Every other request goes to the step that has waited longest for its
+// turn: urgent steps whose tickets cannot be used would keep the service from all others.
 func (p *Planner) requestAdvice(now time.Duration) {
-	candidates := p.adviceCandidates
-	p.adviceCandidates = candidates[:0]
-	if p.pendingAdvice >= maxPendingAdvice || now < p.adviceRetryAt {
+	byRank := p.adviceCandidates
+	p.adviceCandidates = byRank[:0]
+	free := max(p.adviceCallers, 1) - p.pendingAdvice
+	if free <= 0 || now < p.adviceRetryAt || len(byRank) == 0 {
 		return
 	}
-	if p.adviceByTurn {
-		slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
-			return cmp.Compare(a.step.advice.requestedAt, b.step.advice.requestedAt)
-		})
+	byTurn := slices.Clone(byRank)
+	slices.SortStableFunc(byTurn, func(a, b adviceCandidate) int {
+		return cmp.Compare(a.step.advice.requestedAt, b.step.advice.requestedAt)
+	})
+	for ; free > 0; free-- {
+		queue := &byRank
+		if p.adviceByTurn {
+			queue = &byTurn
+		}
+		if !p.requestAdviceForFirst(now, queue) {
+			return
+		}
+		p.adviceByTurn = !p.adviceByTurn
 	}
-	for _, c := range candidates {
+}
+
+// requestAdviceForFirst queues a request for the first candidate that needs one, and removes the candidates up to
+// it. It returns false if there is none.
+func (p *Planner) requestAdviceForFirst(now time.Duration, candidates *[]adviceCandidate) bool {
+	defer func() { p.currentJob = "" }()
+	for len(*candidates) > 0 {
+		c := (*candidates)[0]
+		*candidates = (*candidates)[1:]
 		p.currentJob = c.step.job.job.ID
 		p.placing(now, c.position, c.candidate)
 		if p.requestAdviceFor(now, c.step, c.opts) {
-			p.adviceByTurn = !p.adviceByTurn
-			break
+			return true
 		}
 	}
-	p.currentJob = ""
+	return false
 }
 
 // requestAdviceFor queues an advice request for a step and returns true, unless the valid tickets suffice for its
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -83,6 +83,8 @@
 	adviceRequests []AdviceRequest
 	pendingAdvice  int
 	adviceTiming   adviceTiming
+	// adviceCallers is how many requests the service handles at once; 0 counts as 1.
+	adviceCallers int
 	// adviceCandidates are collected during a plan. adviceByTurn is set if the next request goes by turn.
 	adviceCandidates []adviceCandidate
 	adviceByTurn     bool
