--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -70,7 +70,9 @@
 }
 
 // Duration returns how long an answer on n runners takes.
-func (a *Advice) Duration(n int) time.Duration { return a.Decide + time.Duration(n)*a.Each }
+func (a *Advice) Duration(n int) time.Duration {
+	return max(a.Decide, 0) + time.Duration(n)*max(a.Each, 0)
+}
 
 // AdviceAnswer is an answer of the advice service to a request on some runners.
 type AdviceAnswer struct {
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -56,6 +56,25 @@
 	AdviceNoRoom AdviceReason = "no-room"
 )
 
+// adviceCalls are the calls of the advice service, for all steps.
+type adviceCalls struct {
+	// requests are to be sent; pending counts the requests without an answer, sent or not.
+	requests []AdviceRequest
+	pending  int
+	// callers is how many requests the service handles at once; 0 counts as 1.
+	callers int
+	// candidates are the steps that may need advice, collected during a plan. byTurn is set if the next request
+	// goes by turn instead of by rank.
+	candidates []adviceCandidate
+	byTurn     bool
+	// retryAt is when the service is called again after failures failed requests in a row.
+	retryAt  time.Duration
+	failures int
+	timing   adviceTiming
+	// grantShares are learned by queue.
+	grantShares map[string]*grantShare
+}
+
 // advice holds the answers of the advice service for one step. They do not change during a
 // step, so no request repeats a runner that was denied.
 type advice struct {
@@ -115,12 +134,12 @@
 // SetAdviceCallers sets the number of callers of the advice service. It handles one request of each at a time:
 // further ones would only wait there while they and their tickets expire, and the most urgent step would
 // wait behind them.
-func (p *Planner) SetAdviceCallers(n int) { p.adviceCallers = n }
+func (p *Planner) SetAdviceCallers(n int) { p.advice.callers = n }
 
 // AdviceReceived applies the answer to a request that was sent at sentAt.
 func (p *Planner) AdviceReceived(now, sentAt time.Duration, q AdviceRequest, answer job.AdviceAnswer) {
-	p.adviceTiming.answered(q.figure, now-sentAt)
-	p.adviceFailures = 0
+	p.advice.timing.answered(q.figure, now-sentAt)
+	p.advice.failures = 0
 	s := p.adviceFinished(q)
 	if s == nil {
 		return
@@ -153,10 +172,10 @@
 // passed.
 func (p *Planner) AdviceFailed(now, sentAt time.Duration, q AdviceRequest, givenUp bool) {
 	if givenUp {
-		p.adviceTiming.givenUp(q.figure, now-sentAt)
+		p.advice.timing.givenUp(q.figure, now-sentAt)
 	}
-	p.adviceRetryAt = now + backoff(serviceRetryDelay, p.adviceFailures, maxServiceRetryDelay)
-	p.adviceFailures++
+	p.advice.retryAt = now + backoff(serviceRetryDelay, p.advice.failures, maxServiceRetryDelay)
+	p.advice.failures++
 	if s := p.adviceFinished(q); s != nil {
 		v := s.advice
 		v.retryAt, v.last = now+backoff(adviceRetryDelay, v.unanswered, maxAdviceRetryDelay), AdviceUnanswered
@@ -166,7 +185,7 @@
 
 // adviceFinished ends a request and returns its step, nil if there is none any more.
 func (p *Planner) adviceFinished(q AdviceRequest) *stepState {
-	p.pendingAdvice--
+	p.advice.pending--
 	s, _ := p.findTask(q.Task)
 	if s == nil || s.advice == nil {
 		return nil
--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -36,10 +36,10 @@
 // there are callers without one. Every other request goes to the step that has waited longest for its
 // turn: urgent steps whose tickets cannot be used would keep the service from all others.
 func (p *Planner) requestAdvice(now time.Duration) {
-	byRank := p.adviceCandidates
-	p.adviceCandidates = byRank[:0]
-	free := max(p.adviceCallers, 1) - p.pendingAdvice
-	if free <= 0 || now < p.adviceRetryAt || len(byRank) == 0 {
+	byRank := p.advice.candidates
+	p.advice.candidates = byRank[:0]
+	free := max(p.advice.callers, 1) - p.advice.pending
+	if free <= 0 || now < p.advice.retryAt || len(byRank) == 0 {
 		return
 	}
 	byTurn := slices.Clone(byRank)
@@ -48,13 +48,13 @@
 	})
 	for ; free > 0; free-- {
 		queue := &byRank
-		if p.adviceByTurn {
+		if p.advice.byTurn {
 			queue = &byTurn
 		}
 		if !p.requestAdviceForFirst(now, queue) {
 			return
 		}
-		p.adviceByTurn = !p.adviceByTurn
+		p.advice.byTurn = !p.advice.byTurn
 	}
 }
 
@@ -101,10 +101,10 @@
 	q := AdviceRequest{Task: job.Task{Job: s.job.job.ID, Occurrence: s.occ.number, Step: s.index}, Reason: v.reason(now)}
 	q.Runners = p.chooseForAdvice(s, options, wanted-covered)
 	q.figure = s.job.job.Queue.Advice.Duration(len(q.Runners))
-	q.Expected, q.Timeout = p.adviceTiming.expected(q.figure), p.adviceTiming.timeout(q.figure)
+	q.Expected, q.Timeout = p.advice.timing.expected(q.figure), p.advice.timing.timeout(q.figure)
 	v.pending, v.requestedAt = true, now
-	p.pendingAdvice++
-	p.adviceRequests = append(p.adviceRequests, q)
+	p.advice.pending++
+	p.advice.requests = append(p.advice.requests, q)
 	return true
 }
 
@@ -225,21 +225,21 @@
 
 // adviceDuration returns how long the service is expected to take for a request on n runners.
 func (p *Planner) adviceDuration(s *stepState, n int) time.Duration {
-	return p.adviceTiming.expected(s.job.job.Queue.Advice.Duration(n))
+	return p.advice.timing.expected(s.job.job.Queue.Advice.Duration(n))
 }
 
 // ticketValidity returns how long tickets for the step are expected to be valid.
 func (s *stepState) ticketValidity() time.Duration {
-	return cmp.Or(s.job.job.Queue.Advice.Valid, defaultTicketValidity)
+	return cmp.Or(max(s.job.job.Queue.Advice.Valid, 0), defaultTicketValidity)
 }
 
 // grantShareOf returns the learned share of allowed runners for the step's queue.
 func (p *Planner) grantShareOf(s *stepState) *grantShare {
 	name := s.job.job.Queue.Name
-	if p.grantShares[name] == nil {
-		p.grantShares[name] = &grantShare{}
+	if p.advice.grantShares[name] == nil {
+		p.advice.grantShares[name] = &grantShare{}
 	}
-	return p.grantShares[name]
+	return p.advice.grantShares[name]
 }
 
 func compareBool(a, b bool) int {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -109,7 +109,7 @@
 		for _, o := range orders.Starts {
 			p.agents[o.Agent].runs[o.Run].planned = false
 		}
-		orders.AdviceRequests, p.adviceRequests = p.adviceRequests, nil
+		orders.AdviceRequests, p.advice.requests = p.advice.requests, nil
 	}
 	return orders
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -78,23 +78,9 @@
 	ended      []*jobState
 	stops      []Stop
 	deadAgents []string
-	// adviceRequests are to be sent; pendingAdvice counts the requests without an answer,
-	// sent or not.
-	adviceRequests []AdviceRequest
-	pendingAdvice  int
-	adviceTiming   adviceTiming
-	// adviceCallers is how many requests the service handles at once; 0 counts as 1.
-	adviceCallers int
-	// adviceCandidates are collected during a plan. adviceByTurn is set if the next request goes by turn.
-	adviceCandidates []adviceCandidate
-	adviceByTurn     bool
-	// adviceRetryAt is when the service is called again after adviceFailures failed requests in a row.
-	adviceRetryAt  time.Duration
-	adviceFailures int
-	// grantShares are learned by queue.
-	grantShares map[string]*grantShare
-	deferrals   []Deferral
-	stats       Stats
+	advice     adviceCalls
+	deferrals  []Deferral
+	stats      Stats
 
 	interference *interference.Model
 	// bias is, by queue, the logarithm of the factor by which tasks take longer than
@@ -134,7 +120,7 @@
 		jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		scheduled: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		interference: interference.New(), bias: map[string]float64{}, quarantined: map[string]bool{},
-		learned: forecast.NewDurations(), grantShares: map[string]*grantShare{},
+		learned: forecast.NewDurations(), advice: adviceCalls{grantShares: map[string]*grantShare{}},
 	}
 }
 
--- a/internal/planner/startbudget.go
+++ b/internal/planner/startbudget.go
@@ -102,6 +102,6 @@
 		p.starts = p.startTasks(now, c.step, opts, p.starts)
 	}
 	if c.step.advice != nil {
-		p.adviceCandidates = append(p.adviceCandidates, adviceCandidate{c, position, opts})
+		p.advice.candidates = append(p.advice.candidates, adviceCandidate{c, position, opts})
 	}
 }
