planner, leader: tests of full runners and of a change of leaders during a request for advice

TestPattern_GrantedRunnersFull: the runners of an answer are full when it comes; the step asks for others at once, and starts on the first one that has room. TestLeader_AdviceAfterTakeover: a request ends with its term, the next leader asks again. Both guard; the fault of the second was not seen before.

--- a/internal/leader/advicecall_test.go
+++ b/internal/leader/advicecall_test.go
@@ -112,3 +112,26 @@
 	a.awaitStarts(t, jobs, 10*time.Second)
 	test.Eq(t, 1, failing.calls.Load(), test.Sprint("a failed agent pauses"))
 }
+
+// Guards against a step that stands still because its request for advice ended with the term.
+func TestLeader_AdviceAfterTakeover(t *testing.T) {
+	t.Parallel()
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	a := newFakeAgent(t)
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+	blocked := &blockedAdvisor{called: make(chan struct{}, 100)}
+	l, stop := runLeaderWith(t, jobLedger, func(o *Options) { o.Advisor = blocked })
+	awaitLeading(t, l)
+	own := &serialAdvisor{duration: 100 * time.Millisecond, valid: 3 * time.Second}
+	acceptAdvised(t, jobLedger, 1, 3, own)
+	select {
+	case <-blocked.called:
+	case <-time.After(5 * time.Second):
+		t.Fatal("no call")
+	}
+	stop()
+	runLeaderWith(t, jobLedger, func(o *Options) { o.Advisor, o.Address, o.Process = own, "10.0.0.2:1", "p2" })
+	a.awaitStarts(t, 3, 10*time.Second)
+	test.Eq(t, 3, own.callCount())
+}
--- a/internal/planner/advice_test.go
+++ b/internal/planner/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -413,3 +414,32 @@
 	f.answer(requests[1], "i-a")
 	test.Len(t, 0, f.plan().AdviceRequests, test.Sprint("two are still pending"))
 }
+
+// Guards against a step that waits beside free runners because those which it may use are full when the answer
+// comes: it asks for others at once, and starts where there is room first.
+func TestPattern_GrantedRunnersFull(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		f.agent(id)
+	}
+	j := testJob(1, step(1))
+	j.Queue.Advice = &slowAdvice
+	f.add(j, nil, false)
+	q := f.plan().AdviceRequests[0]
+	full := map[string]bool{}
+	for _, id := range q.Runners {
+		full[id] = true
+		f.agents[strings.TrimPrefix(id, "i-")].requested.CPU = 16_000
+	}
+	must.Less(t, 8, len(full))
+	orders := f.answerAfter(q, q.Expected, ticketTime, q.Runners...)
+	test.Len(t, 0, orders.Starts)
+	must.Len(t, 1, orders.AdviceRequests)
+	test.Eq(t, AdviceNoRoom, orders.AdviceRequests[0].Reason)
+	for _, id := range orders.AdviceRequests[0].Runners {
+		test.False(t, full[id])
+	}
+	f.agents[strings.TrimPrefix(q.Runners[0], "i-")].requested.CPU = 0
+	f.now += 10 * time.Millisecond
+	test.Len(t, 1, f.plan().Starts)
+}
