leader, ledger: registrations of many agents are written together

After a partition the leader registered the agents that returned one after the other, and removed those that were dead in the same way, a transaction each. Meanwhile it stored no end of a run, and the last agents got no work: 225 agents of 900 took 225 transactions, of which a slow store does 5 a second.

Up to 49 registrations are written or removed in a transaction. If one of those to remove has changed, they are removed one by one, as lost agents are recorded.

TestRemoveAgents_OneChanged guards against one changed registration that keeps the others.

--- a/internal/leader/agents.go
+++ b/internal/leader/agents.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -45,50 +46,71 @@
 		}
 	}
 	r.mu.Unlock()
-	for _, conn := range returned {
-		if err := r.reregisterAgent(conn); err != nil {
+	for conns := range slices.Chunk(returned, ledger.MaxRegistrations) {
+		if err := r.reregisterAgents(conns); err != nil {
 			return err
 		}
 	}
-	return r.removeAgents(dead)
+	for conns := range slices.Chunk(dead, ledger.MaxRegistrations) {
+		if err := r.removeAgents(conns); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func (r *leadership) removeAgents(dead []*agentConn) error {
-	var removed []string
-	for _, conn := range dead {
-		r.mu.Lock()
-		version, done := conn.version, conn.removedVersion == conn.version
-		r.mu.Unlock()
-		if done {
-			continue
-		}
-		if err := r.term.RemoveAgent(r.ctx, conn.id, version); err != nil {
-			return err
+// registrations returns the registrations of the agents, except those that have been removed.
+func (r *leadership) registrations(conns []*agentConn) []ledger.Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []ledger.Registration
+	for _, c := range conns {
+		if c.removedVersion != c.version {
+			found = append(found, ledger.Registration{Name: c.id, Address: c.address, Version: c.version})
 		}
-		r.mu.Lock()
-		conn.removedVersion = version
-		r.mu.Unlock()
-		removed = append(removed, conn.id)
 	}
-	if len(removed) > 0 {
-		r.opts.Logger.WithField("agents", strings.Join(removed, ",")).Info("agents removed")
+	return found
+}
+
+// removeAgents removes the registrations of dead agents, at most ledger.MaxRegistrations.
+func (r *leadership) removeAgents(dead []*agentConn) error {
+	agents := r.registrations(dead)
+	if len(agents) == 0 {
+		return nil
 	}
+	if err := r.term.RemoveAgents(r.ctx, agents); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make([]string, len(agents))
+	for i, a := range agents {
+		names[i] = a.Name
+		r.conns[a.Name].removedVersion = a.Version
+	}
+	r.opts.Logger.WithField("agents", strings.Join(names, ",")).Info("agents removed")
 	return nil
 }
 
-// reregisterAgent registers an agent again and then applies the messages buffered for it.
-func (r *leadership) reregisterAgent(conn *agentConn) error {
+// reregisterAgents registers agents again, at most ledger.MaxRegistrations, and then applies the messages
+// buffered for them.
+func (r *leadership) reregisterAgents(returned []*agentConn) error {
 	r.mu.Lock()
-	address := conn.address
+	agents := make([]ledger.Registration, len(returned))
+	for i, c := range returned {
+		agents[i] = ledger.Registration{Name: c.id, Address: c.address}
+	}
 	r.mu.Unlock()
-	version, err := r.term.ReregisterAgent(r.ctx, conn.id, address)
+	version, err := r.term.ReregisterAgents(r.ctx, agents)
 	if err != nil {
 		return err
 	}
-	r.opts.Logger.WithField("agent", conn.id).Info("agent registered again")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	conn.setRegistered(r.opts.Now(), ledger.Agent{Address: address, Version: version})
+	for i, c := range returned {
+		r.opts.Logger.WithField("agent", c.id).Info("agent registered again")
+		c.setRegistered(r.opts.Now(), ledger.Agent{Address: agents[i].Address, Version: version})
+	}
 	return nil
 }
 
--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,3 +144,47 @@
 	a.closeSessions()
 	awaitState(2, job.Completed)
 }
+
+// Guards against a fleet that waits for its registrations one after the other once a partition has ended, while
+// no end of a run is stored.
+func TestLeader_ManyAgentsReturn(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	const count = 30
+	agents := map[string]*fakeAgent{}
+	for n := range count {
+		a := newFakeAgent(t)
+		a.noRunner = true
+		name := fmt.Sprint("a", n)
+		agents[name] = a
+		must.NoError(t, jobLedger.RegisterAgent(t.Context(), name, a.address))
+	}
+	var transactions atomic.Int64
+	hooked.onApply = func(tx store.Tx) error {
+		if len(tx.Writes) > 0 && tx.Writes[0].Key.Table == "agents" || len(tx.Remove) > 0 && tx.Remove[0].Table == "agents" {
+			transactions.Add(1)
+			time.Sleep(100 * time.Millisecond) // the store is slow
+		}
+		return nil
+	}
+	awaitRegistered := func(want int) {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			found, _, err := jobLedger.Agents(t.Context())
+			return err == nil && len(found) == want
+		}), wait.Timeout(15*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	l, _ := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	for _, a := range agents {
+		a.await(t, hasGrant)
+		a.set(func() { a.noSnapshot = true })
+		a.closeSessions()
+	}
+	awaitRegistered(0)
+	for _, a := range agents {
+		a.set(func() { a.noSnapshot = false })
+		a.closeSessions()
+	}
+	awaitRegistered(count)
+	test.LessEq(t, count, transactions.Load(), test.Sprint("removals and registrations"))
+}
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -77,26 +77,60 @@
 	return string(value)
 }
 
-// RemoveAgent deletes the registration of a dead agent, given by its version. A later
-// registration stays, even if the store executes the call late.
-func (h *HeldTerm) RemoveAgent(ctx context.Context, name string, version int64) error {
-	k := mainKey(agentTable, name)
-	err := h.ledger.apply(ctx, store.Tx{
-		Expect: []store.Expect{h.expectTerm(), {Key: k, Version: version}}, Remove: []store.Key{k},
-	})
+// Registration is an agent's registration in the ledger, given by its version, or one to be written.
+type Registration struct {
+	Name, Address string
+	Version       int64
+}
+
+// MaxRegistrations is the maximum number of agents in a call of RemoveAgents or ReregisterAgents.
+const MaxRegistrations = (store.MaxTxEntries - 1) / 2
+
+// RemoveAgents deletes the registrations of dead agents. A later registration stays, even if the store
+// executes the call late. After an error each of them may have been deleted.
+func (h *HeldTerm) RemoveAgents(ctx context.Context, agents []Registration) error {
+	err := h.removeAgents(ctx, agents)
+	if !errors.Is(err, errRegistrationChanged) || len(agents) == 1 {
+		return ignoreChanged(err)
+	}
+	for _, a := range agents {
+		if err := ignoreChanged(h.removeAgents(ctx, []Registration{a})); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// removeAgents deletes all registrations or none. It returns errRegistrationChanged if one has been deleted by an
+// earlier attempt, or its agent has registered again.
+func (h *HeldTerm) removeAgents(ctx context.Context, agents []Registration) error {
+	tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
+	for _, a := range agents {
+		k := mainKey(agentTable, a.Name)
+		tx.Expect = append(tx.Expect, store.Expect{Key: k, Version: a.Version})
+		tx.Remove = append(tx.Remove, k)
+	}
+	err := h.ledger.apply(ctx, tx)
 	if conflict := (*store.ConflictError)(nil); errors.As(err, &conflict) && h.termUnchanged(conflict) {
-		// An earlier attempt deleted the row, or the agent has registered again.
-		return nil
+		return errRegistrationChanged
 	}
 	return conflictAsDeposed(err)
 }
 
-// ReregisterAgent registers an agent again after its registration was deleted or got a record, and returns
-// the version of the new registration. A record that is written late then finds another version.
-func (h *HeldTerm) ReregisterAgent(ctx context.Context, name, address string) (int64, error) {
-	version, err := h.ledger.store.Apply(ctx, store.Tx{
-		Expect: []store.Expect{h.expectTerm()},
-		Writes: []store.Write{{Key: mainKey(agentTable, name), Value: []byte(address)}},
-	})
+func ignoreChanged(err error) error {
+	if errors.Is(err, errRegistrationChanged) {
+		return nil
+	}
+	return err
+}
+
+// ReregisterAgents registers agents again after their registrations were deleted or got a record, and returns
+// the version of all new registrations. A record that is written late then finds another version.
+func (h *HeldTerm) ReregisterAgents(ctx context.Context, agents []Registration) (version int64, err error) {
+	tx := store.Tx{Expect: []store.Expect{h.expectTerm()}}
+	for _, a := range agents {
+		tx.Writes = append(tx.Writes, store.Write{Key: mainKey(agentTable, a.Name), Value: []byte(a.Address)})
+	}
+	version, err = h.ledger.store.Apply(ctx, tx)
 	return version, conflictAsDeposed(err)
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -104,7 +104,7 @@
 	beginTerm(t, l, "p2")
 	test.ErrorIs(t, old.Renew(t.Context()), ledger.ErrDeposed)
 	test.ErrorIs(t, commit(t.Context(), old, progressChange(testID, job.Failed)), ledger.ErrDeposed)
-	test.ErrorIs(t, old.RemoveAgent(t.Context(), "a", 1), ledger.ErrDeposed)
+	test.ErrorIs(t, old.RemoveAgents(t.Context(), []ledger.Registration{{Name: "a", Version: 1}}), ledger.ErrDeposed)
 	test.ErrorIs(t, old.DeleteJobs(t.Context(), []string{testID}), ledger.ErrDeposed)
 }
 
@@ -268,7 +268,7 @@
 	agents, version, err := l.Agents(t.Context())
 	must.NoError(t, err)
 	test.Eq(t, "10.0.0.9:1", agents["a"].Address)
-	must.NoError(t, beginTerm(t, l, "p1").RemoveAgent(t.Context(), "a", agents["a"].Version))
+	must.NoError(t, beginTerm(t, l, "p1").RemoveAgents(t.Context(), []ledger.Registration{{Name: "a", Version: agents["a"].Version}}))
 	must.NoError(t, l.RegisterAgent(t.Context(), "a", "10.0.0.9:1"))
 	agents, _, err = l.FollowAgents(t.Context(), version, time.Second)
 	must.NoError(t, err)
@@ -283,15 +283,37 @@
 	must.NoError(t, err)
 	held := beginTerm(t, l, "p1")
 	standin.SetFault(platformtest.Lost)
-	must.Error(t, held.RemoveAgent(t.Context(), "a", agents["a"].Version))
+	must.Error(t, held.RemoveAgents(t.Context(), []ledger.Registration{{Name: "a", Version: agents["a"].Version}}))
 	standin.SetFault(platformtest.None)
-	version, err := held.ReregisterAgent(t.Context(), "a", "10.0.0.9:1")
+	version, err := held.ReregisterAgents(t.Context(), []ledger.Registration{{Name: "a", Address: "10.0.0.9:1"}})
 	must.NoError(t, err)
-	must.NoError(t, held.RemoveAgent(t.Context(), "a", agents["a"].Version))
+	must.NoError(t, held.RemoveAgents(t.Context(), []ledger.Registration{{Name: "a", Version: agents["a"].Version}}))
 	again, _, err := l.Agents(t.Context())
 	must.NoError(t, err)
 	test.Eq(t, ledger.Agent{Address: "10.0.0.9:1", Version: version}, again["a"])
 	beginTerm(t, l, "p2")
-	_, err = held.ReregisterAgent(t.Context(), "a", "10.0.0.9:1")
+	_, err = held.ReregisterAgents(t.Context(), []ledger.Registration{{Name: "a", Address: "10.0.0.9:1"}})
 	test.ErrorIs(t, err, ledger.ErrDeposed)
 }
+
+// Guards against one registration that has changed and keeps those of other dead agents.
+func TestRemoveAgents_OneChanged(t *testing.T) {
+	l, _ := newLedger(t)
+	var dead []ledger.Registration
+	for _, name := range []string{"a", "b", "c"} {
+		must.NoError(t, l.RegisterAgent(t.Context(), name, "10.0.0.9:1"))
+	}
+	agents, _, err := l.Agents(t.Context())
+	must.NoError(t, err)
+	for name, a := range agents {
+		dead = append(dead, ledger.Registration{Name: name, Version: a.Version})
+	}
+	held := beginTerm(t, l, "p1")
+	_, err = held.ReregisterAgents(t.Context(), []ledger.Registration{{Name: "b", Address: "10.0.0.9:2"}})
+	must.NoError(t, err)
+	must.NoError(t, held.RemoveAgents(t.Context(), dead))
+	agents, _, err = l.Agents(t.Context())
+	must.NoError(t, err)
+	must.MapLen(t, 1, agents)
+	test.Eq(t, "10.0.0.9:2", agents["b"].Address)
+}
--- a/internal/ledger/recordlost_test.go
+++ b/internal/ledger/recordlost_test.go
@@ -29,7 +29,7 @@
 	for _, name := range []string{"a", "b"} {
 		records = append(records, ledger.LostAgent{Name: name, Address: "10.0.0.2:2", Version: agents[name].Version, Lost: lost})
 	}
-	_, err = held.ReregisterAgent(ctx, "a", "10.0.0.2:2")
+	_, err = held.ReregisterAgents(ctx, []ledger.Registration{{Name: "a", Address: "10.0.0.2:2"}})
 	must.NoError(t, err)
 	versions, err := held.RecordLost(ctx, records)
 	must.NoError(t, err)
