--- a/internal/planner/advicerequest.go
+++ b/internal/planner/advicerequest.go
@@ -61,13 +61,14 @@
 // requestAdviceForFirst queues a request for the first candidate that needs one, and removes the candidates up to
 // it. It returns false if there is none.
 func (p *Planner) requestAdviceForFirst(now time.Duration, candidates *[]adviceCandidate) bool {
-	defer func() { p.currentJob = "" }()
 	for len(*candidates) > 0 {
 		c := (*candidates)[0]
 		*candidates = (*candidates)[1:]
 		p.currentJob = c.step.job.job.ID
 		p.placing(now, c.position, c.candidate)
-		if p.requestAdviceFor(now, c.step, c.opts) {
+		requested := p.requestAdviceFor(now, c.step, c.opts)
+		p.currentJob = ""
+		if requested {
 			return true
 		}
 	}
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// Guards against a job that makes the choice of advice requests panic and is not named: all plans would panic.
+func TestPlanner_QuarantineAfterAdviceRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.agent("a")
+	bad := f.advisedJob(1, step(1))
+	bad.Queue.Advice = nil // the step still needs advice
+	must.NotNil(t, f.planPanic())
+	test.Eq(t, bad.ID, f.CurrentJob())
+	f.Quarantine(f.now, bad.ID)
+	f.add(testJob(2, step(1)), nil, false)
+	test.Len(t, 1, f.plan().Starts)
+}
+
 // Guards against a plan that panics after it has chosen what to start and to ask the advice service: the starts were
 // lost, and no step got advice any more, since the lost request counted as pending.
 func TestPlanner_InterruptedPlanAfterRequest(t *testing.T) {
