--- a/test/soak/settings_test.go
+++ b/test/soak/settings_test.go
@@ -138,7 +138,7 @@
 			routes = append(routes, fmt.Sprintf("route-%d", n))
 		}
 		v := configVersion{extraRoutes: routes, sentAt: time.Now()}
-		c.cluster.store.WriteOperator("config", encodeConfig(n, routes))
+		c.cluster.store.WriteOperator("config", c.cluster.withAdvice(encodeConfig(n, routes)))
 		v.confirmedAt = time.Now()
 		c.mu.Lock()
 		c.versions = append(c.versions, v)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -75,6 +75,9 @@
 		r.ID += fmt.Sprintf("-%d", len(v.runners))
 		v.runner.Detach()
 	}
+	if cl.advice != nil {
+		r.Ticket = func(task string) string { return cl.advice.ticket(r.ID, task) }
+	}
 	if cl.options.has(slowClock) {
 		r.ClockRate = 1 - maxSlowdown*v.random.Float64()
 	}
@@ -172,6 +175,7 @@
 	membership    = "membership"  // VMs are added, and removed for good
 	newID         = "new-id"      // a runner starts under a new id while the process it replaces lives
 	pausedRunner  = "pause"       // runners are paused
+	advised       = "advised"     // the queue has a policy, and its advice service is slow, busy or silent at times
 	slowClock     = "slow-clock"  // runners have slow clocks
 	refusedRunner = "refuse"      // runners' addresses refuse connections while they live
 	oddReport     = "odd-report"  // other writers send reports to agents
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -79,9 +79,13 @@
 	store  *platformtest.Store
 	// storeAddress is the store's address for agents.
 	storeAddress string
-	entries      []*process
-	history      history
-	jobs         *workload
+	// advice is the advice service and adviceSettings the line of the settings that names it; nil and empty unless
+	// the option is chosen.
+	advice         *adviceService
+	adviceSettings string
+	entries        []*process
+	history        history
+	jobs           *workload
 	// controls holds the address of each agent for the reports of runners.
 	controls []string
 	drains   []drain
@@ -120,7 +124,8 @@
 	cl := &cluster{t: t, seed: seed, options: o, slot: slot, dir: t.TempDir(), store: platformtest.NewStore(), jobs: newWorkload(seed, agents*runnerCPU/taskCPU/2)}
 	cl.jobs.speculative = o.has(speculative)
 	cl.storeAddress = cl.serve(net.JoinHostPort(address(slot, 1), "18169"), cl.store)
-	cl.store.WriteOperator("config", []byte(config))
+	cl.serveAdvice()
+	cl.store.WriteOperator("config", cl.withAdvice([]byte(config)))
 	for i := range agents + addedVMs(o) {
 		cl.controls = append(cl.controls, net.JoinHostPort(address(slot, 100+i), controlPort))
 	}
@@ -161,7 +166,7 @@
 	p.peerProxy = cl.newProxy(net.JoinHostPort(ip, fmt.Sprint(peerPort)))
 	p.proxies = []*platformtest.Proxy{cl.newProxy(store), p.peerProxy}
 	p.settings = fmt.Sprintf("nodeName = %q\nip = %q\nzone = \"z1\"\nportRange = [%d,%d]\nadvertise = %q\n",
-		p.name, ip, peerPort, peerPort+15, p.peerProxy.Address())
+		p.name, ip, peerPort, peerPort+15, p.peerProxy.Address()) + cl.adviceSettings
 	return p
 }
 
