--- a/test/soak/advice_test.go
+++ b/test/soak/advice_test.go
@@ -22,9 +22,9 @@
 
 // The figures of the queue, and what the service takes in some calls instead.
 const (
-	adviceDecide   = 20 * time.Millisecond
-	adviceEach     = 5 * time.Millisecond
-	ticketValidity = 700 * time.Millisecond
+	adviceDecide   = 60 * time.Millisecond
+	adviceEach     = 80 * time.Millisecond
+	ticketValidity = 400 * time.Millisecond
 	slowAdvice     = 1500 * time.Millisecond
 )
 
