planner, leader, follower: log why runs are given up and why a boot counts as new

The incident's hypotheses cannot be told apart by the logs: the leader gave up runs without a line, and an agent logged that it was the first process of its boot, but not by which readings.

`boot of the VM registered` has both readings of the boot id, the boot clock and the store's clock, and the evidence that was drawn from them. No decision has changed.

--- a/internal/boottime/reading.go
+++ b/internal/boottime/reading.go
@@ -25,27 +25,47 @@
 // maxRounding bounds the errors of both clocks beside their drift.
 const maxRounding = 10 * time.Millisecond
 
-// BootedSince reports whether it is certain that the machine has booted since an earlier reading.
-// Within a boot the id stays, and the clock neither goes back nor gains on the reference. A clock that
-// falls behind the reference proves nothing, since the machine may have been suspended together with
-// its processes, and neither does a reading of another machine.
-func (r Reading) BootedSince(earlier Reading) bool {
+// Evidence is what two readings say about whether the machine has booted between them.
+type Evidence string
+
+// Kinds of evidence. Only OtherBootID, ClockWentBack and ClockAhead show a boot.
+const (
+	NoEvidence    Evidence = "none"
+	OtherMachine  Evidence = "other-machine"
+	OtherBootID   Evidence = "other-boot-id"
+	ClockWentBack Evidence = "clock-went-back"
+	ClockAhead    Evidence = "clock-ahead-of-reference"
+)
+
+// Booted reports whether it is certain that the machine has booted between the two readings.
+func (e Evidence) Booted() bool { return e == OtherBootID || e == ClockWentBack || e == ClockAhead }
+
+// EvidenceSince compares a reading with an earlier one. Within a boot the id stays, and the clock neither
+// goes back nor gains on the reference. A clock that falls behind the reference proves nothing, since the
+// machine may have been suspended together with its processes, and neither does a reading of another machine.
+func (r Reading) EvidenceSince(earlier Reading) Evidence {
 	if r.Machine != earlier.Machine {
-		return false
+		return OtherMachine
 	}
 	if r.BootID != "" && earlier.BootID != "" && r.BootID != earlier.BootID {
-		return true
+		return OtherBootID
 	}
 	if r.Clock < earlier.Clock {
-		return true
+		return ClockWentBack
 	}
 	if r.Reference == 0 || earlier.Reference == 0 || r.Reference < earlier.Reference {
-		return false
+		return NoEvidence
 	}
 	longest := time.Duration(float64(r.Reference-earlier.Reference)*(1+maxDrift)) + maxRounding
-	return r.Clock-earlier.Clock > longest
+	if r.Clock-earlier.Clock > longest {
+		return ClockAhead
+	}
+	return NoEvidence
 }
 
+// BootedSince reports whether it is certain that the machine has booted since an earlier reading.
+func (r Reading) BootedSince(earlier Reading) bool { return r.EvidenceSince(earlier).Booted() }
+
 // BootID returns the kernel's random id of this boot; "" if it names none.
 func BootID() string { return readID("/proc/sys/kernel/random/boot_id") }
 
--- /dev/null
+++ b/internal/follower/boot.go
@@ -0,0 +1,13 @@
+package follower
+
+import "github.com/apex/log"
+
+// logBoot logs a registration of the boot, with the readings from which it was derived.
+func (f *Follower) logBoot(first bool) {
+	b := f.opts.Boot.Basis()
+	f.opts.Logger.WithFields(log.Fields{
+		"first": first, "evidence": string(b.Evidence), "boot_id": b.Now.BootID, "earlier_boot_id": b.Earlier.BootID,
+		"clock_ms": b.Now.Clock.Milliseconds(), "earlier_clock_ms": b.Earlier.Clock.Milliseconds(),
+		"store_ms": b.Now.Reference.Milliseconds(), "earlier_store_ms": b.Earlier.Reference.Milliseconds(),
+	}).Info("boot of the VM registered")
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -369,7 +369,7 @@
 			bootRegistered = err == nil
 			switch {
 			case bootRegistered:
-				f.opts.Logger.WithField("first", first).Info("boot of the VM registered")
+				f.logBoot(first)
 				f.opts.Supervisor.BootRegistered(first)
 			case ctx.Err() == nil:
 				f.opts.Logger.WithError(err).Warn("registration of the boot failed")
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -37,6 +37,9 @@
 	for _, s := range o.Stops {
 		metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_stops_ordered_total{reason=%q}", string(s.Reason))).Inc()
 	}
+	for _, g := range o.GivenUp {
+		metrics.GetOrCreateCounter(fmt.Sprintf("bamboowood_runs_given_up_total{cause=%q}", string(g.Cause))).Inc()
+	}
 	throttlesTotal.Add(len(o.Throttles))
 	for _, t := range o.Throttles {
 		if t.Reason != planner.ThrottleChanged {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -63,6 +63,11 @@
 			}).Info("stop ordered")
 		}
 	}
+	for _, g := range orders.GivenUp {
+		r.opts.Logger.WithFields(log.Fields{
+			"task": g.Run.Task.String(), "run": g.Run.Number, "agent": g.Agent, "cause": string(g.Cause), "age_ms": g.Age.Milliseconds(),
+		}).Info("run given up")
+	}
 	for _, o := range orders.Throttles {
 		if conn := r.conns[o.Agent]; conn != nil {
 			conn.throttle(o)
--- a/internal/ledger/boot.go
+++ b/internal/ledger/boot.go
@@ -54,8 +54,20 @@
 	// value is what the last attempt wrote, whose outcome may be unknown, and first its result.
 	value []byte
 	first bool
+	basis BootBasis
 }
 
+// BootBasis is why a process counts as the first in its boot, or as a later one, for the log.
+type BootBasis struct {
+	// Now and Earlier are the readings compared; Earlier is zero if no process has registered before.
+	Now, Earlier boottime.Reading
+	// Evidence is empty if there was no earlier registration, or none that can be read.
+	Evidence boottime.Evidence
+}
+
+// Basis returns why the last call of Register decided as it did.
+func (b *BootRegistration) Basis() BootBasis { return b.basis }
+
 // NewBootRegistration returns a registration for the process of an agent. machine names the VM, bootID
 // is the kernel's id of the boot, empty if unknown, and now the time since the boot.
 func (l *Ledger) NewBootRegistration(agent, machine, bootID string, now func() time.Duration) *BootRegistration {
@@ -100,6 +112,7 @@
 // firstAfter reports whether it is certain that no earlier process of the agent has registered in the
 // boot of a reading, given the row of the last registration.
 func (b *BootRegistration) firstAfter(ctx context.Context, row store.Row, now boottime.Reading) (bool, error) {
+	b.basis = BootBasis{Now: now}
 	if row.Version == 0 {
 		// Processes of earlier versions register their address only. A registration is removed
 		// once nothing can be alive there.
@@ -114,5 +127,6 @@
 		bootsUnreadable.Inc()
 		return false, nil
 	}
-	return now.BootedSince(earlier), nil
+	b.basis.Earlier, b.basis.Evidence = earlier, now.EvidenceSince(earlier)
+	return b.basis.Evidence.Booted(), nil
 }
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -90,13 +90,13 @@
 		p.settle(a)
 	}
 	p.setRunner(a, r)
-	p.reconcileRuns(now, a, active, func(*run) bool { return true })
+	p.reconcileRuns(now, a, active, CauseNotInSnapshot, func(*run) bool { return true })
 }
 
 // reconcileRuns compares the planner's runs on an agent with the runs that the agent
-// lists. Runs that are not listed are dropped if canDrop returns true for them, once they cannot be
+// lists. Runs that are not listed are given up for a cause if canDrop returns true for them, once they cannot be
 // alive without the agent's knowledge.
-func (p *Planner) reconcileRuns(now time.Duration, a *agent, active []job.Activity, canDrop func(*run) bool) {
+func (p *Planner) reconcileRuns(now time.Duration, a *agent, active []job.Activity, cause GiveUpCause, canDrop func(*run) bool) {
 	reported := make(map[job.Run]bool, len(active))
 	for _, act := range active {
 		reported[act.Run] = true
@@ -108,7 +108,7 @@
 		case !r.planned && now < max(a.unlistedUntil, r.detachedUntil):
 			r.detachedUntil = max(a.unlistedUntil, r.detachedUntil)
 		default:
-			p.dropRun(now, r)
+			p.giveUp(now, r, cause)
 		}
 	}
 }
@@ -211,7 +211,7 @@
 	sameIncarnation := a.runner != nil && r != nil && a.runner.SameIncarnation(r)
 	p.setRunner(a, r)
 	if !sameIncarnation {
-		p.reconcileRuns(now, a, active, func(r *run) bool { return r.confirmedAt != 0 })
+		p.reconcileRuns(now, a, active, CauseNotInUpdate, func(r *run) bool { return r.confirmedAt != 0 })
 	}
 }
 
@@ -295,7 +295,7 @@
 		p.setDead(a)
 		for _, r := range a.runs {
 			p.stats.LeaseExpirations++
-			p.dropRun(now, r)
+			p.giveUp(now, r, CauseLeaseExpired)
 		}
 	}
 }
--- a/internal/planner/ends.go
+++ b/internal/planner/ends.go
@@ -7,19 +7,6 @@
 	"bamboowood/internal/job"
 )
 
-// dropRun removes a run that is not alive and cannot start any more. Its task waits for a
-// runner again.
-func (p *Planner) dropRun(now time.Duration, r *run) {
-	p.removeRun(now, r)
-	if r.planned {
-		p.starts = slices.DeleteFunc(p.starts, func(o Start) bool { return o.Run == r.id })
-	}
-	if r.stalled {
-		r.task.avoidAgent = r.agent
-	}
-	p.scheduleRetry(now, r.step, r.task, 0)
-}
-
 // scheduleRetry makes a task wait for a runner again, at least for a delay, unless it is
 // done.
 func (p *Planner) scheduleRetry(now time.Duration, s *stepState, t *taskState, delay time.Duration) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -67,7 +67,8 @@
 	Throttles []Throttle
 	// AdviceRequests are for the advice services of queues.
 	AdviceRequests []AdviceRequest
-	// Deferrals and Reservations are for logging and require no action.
+	// GivenUp, Deferrals and Reservations are for logging and require no action.
+	GivenUp      []GivenUp
 	Deferrals    []Deferral
 	Reservations []ReservationEvent
 	// TasksHeldBack counts the tasks that wait because of a reservation, each once; GapsFilled counts the
@@ -100,6 +101,7 @@
 	}
 	orders.Stops, p.stops = p.stops, nil
 	orders.Deferrals, p.deferrals = p.deferrals, nil
+	orders.GivenUp, p.givenUp = p.givenUp, nil
 	p.lookahead.report(&orders)
 	orders.Copies, p.copies.counts = p.copies.counts, CopyCounts{}
 	orders.Throttles = p.throttles(now.Mono)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,6 +80,7 @@
 	deadAgents []string
 	advice     adviceCalls
 	deferrals  []Deferral
+	givenUp    []GivenUp
 	stats      Stats
 
 	interference *interference.Model
--- a/internal/planner/unlisted.go
+++ b/internal/planner/unlisted.go
@@ -55,7 +55,7 @@
 	for _, r := range a.runs {
 		if r.detachedUntil != 0 && now >= r.detachedUntil {
 			p.stats.LeaseExpirations++
-			p.dropRun(now, r)
+			p.giveUp(now, r, CauseUnlistedExpired)
 		}
 	}
 	if a.unlistedUntil != 0 && now >= a.unlistedUntil {
