--- a/internal/ledger/boot_test.go
+++ b/internal/ledger/boot_test.go
@@ -84,3 +84,27 @@
 		test.False(t, first, test.Sprint(value[:min(len(value), 40)]))
 	}
 }
+
+// Guards against taking an agent process for the first in its boot, so that runs that go on are given up, because
+// the clock of the store stood still, is slow or began anew between two processes.
+func TestBootRegistration_StoreClockFallsBehind(t *testing.T) {
+	for name, storeClock := range map[string]time.Duration{
+		"stood still":           100 * time.Millisecond,
+		"slow by a tenth":       54*time.Second + 100*time.Millisecond,
+		"slow by a twentieth":   57*time.Second + 100*time.Millisecond,
+		"began anew long since": 20 * time.Second,
+		"began anew just now":   0,
+	} {
+		l, s := newLedger(t)
+		s.SetClock(100 * time.Millisecond)
+		s.SetClockRate(0)
+		boot := time.Hour
+		for process := range 2 {
+			first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", func() time.Duration { return boot }).Register(t.Context())
+			must.NoError(t, err)
+			test.Eq(t, process == 0, first, test.Sprint(name))
+			boot += time.Minute
+			s.SetClock(storeClock)
+		}
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -95,6 +95,12 @@
 	runSeeds(t, []int64{400, 401, 402, 823, 1002}, chosen)
 }
 
+// Guards against an agent process that takes its VM for newly booted, and has all tasks of its runner started again
+// while they run, because the store's clock has fallen behind since an earlier process.
+func TestSoak_StoreClock(t *testing.T) {
+	runSeeds(t, []int64{622, 631, 634}, options{storeClock})
+}
+
 // runSeeds runs the regression seeds and those that the flags name.
 func runSeeds(t *testing.T, regressions []int64, o options) {
 	reserveAddressBlock(t)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -182,6 +182,7 @@
 	oddRow        = "odd-row"     // other writers write to the tables of the system
 	crowd         = "crowd"       // unknown clients send unfinished bodies to entries
 	oldRunner     = "old-runner"  // runners have started long before the run
+	storeClock    = "store-clock" // the store's clock begins anew, stands still or is slow, and agents are killed
 	evacuation    = "evacuation"  // a zone is drained and refilled, and the store refuses reads of single tables
 )
 
@@ -217,6 +218,7 @@
 			}
 		}},
 		{oddReport, 5, cl.oddReport},
+		{storeClock, 3, cl.storeClockFault},
 		{oddRow, 3, func(r *rand.Rand, _ *vm) (string, func()) { return cl.oddRow(r) }},
 	} {
 		if !cl.options.has(option.name) {
