boottime, ledger: the store's clock alone does not show that a VM has booted

Callers saw tasks that must run once run twice: all runs of one runner were started again elsewhere while they went on.

Cause: a process of an agent took its VM for newly booted, and itself for the first that could have started a run there, if CLOCK_BOOTTIME had gained 4% and 10 ms on the store's clock since the last registration, with an unchanged boot id. A store's clock that begins anew with the store, stands still or is slow makes any restart of an agent such a boot. The agent then reported no runs before its runner had listed them, and the leader gave up all of them.

The clock of the VM now counts as ahead only of both the store's clock and the VM's own time of day, stepped by at most 10 s. A boot clock with an offset of a time namespace, or a registration of a version that doesn't tell, shows no boot at all, in either direction; another boot id does, as before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -332,7 +332,7 @@
 	agentFollower := follower.New(follower.Options{
 		Peers: ingress.NewPool(limits.Messages), Report: a.report, Advisor: n.advisor(),
 		Supervisor: runnerSupervisor, Ledger: jobLedger, Logger: n.logger,
-		Boot: jobLedger.NewBootRegistration(n.node.IP, n.node.Name+"/"+boottime.MachineID(), boottime.BootID(), boottime.Now),
+		Boot: jobLedger.NewBootRegistration(n.node.IP, boottime.ThisMachine(n.node.Name)),
 		Name: n.node.IP, Address: n.advertisedAddress(), Now: boottime.Now,
 	})
 	peers, err := n.listenForPeers(limits, a.report)
--- a/internal/follower/boot.go
+++ b/internal/follower/boot.go
@@ -9,5 +9,7 @@
 		"first": first, "evidence": string(b.Evidence), "boot_id": b.Now.BootID, "earlier_boot_id": b.Earlier.BootID,
 		"clock_ms": b.Now.Clock.Milliseconds(), "earlier_clock_ms": b.Earlier.Clock.Milliseconds(),
 		"store_ms": b.Now.Reference.Milliseconds(), "earlier_store_ms": b.Earlier.Reference.Milliseconds(),
+		"time_of_day_ms": b.Now.TimeOfDay.Milliseconds(), "earlier_time_of_day_ms": b.Earlier.TimeOfDay.Milliseconds(),
+		"private_clock": b.Now.PrivateClock,
 	}).Info("boot of the VM registered")
 }
--- a/internal/leader/norunner_test.go
+++ b/internal/leader/norunner_test.go
@@ -33,7 +33,7 @@
 	})
 	f := follower.New(follower.Options{
 		Supervisor: s, Ledger: jobLedger, Logger: logger, Advisor: advisor, Name: name, Address: ln.Addr().String(), Now: boottime.Now,
-		Boot: jobLedger.NewBootRegistration(name, "vm", bootID, boottime.Now),
+		Boot: jobLedger.NewBootRegistration(name, testMachine(bootID)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
@@ -58,7 +58,7 @@
 func startBesideAgentWithoutRunner(t *testing.T, bootID string) time.Duration {
 	hooked, _ := newHookedStore(t)
 	jobLedger := newLedger(hooked)
-	_, err := jobLedger.NewBootRegistration("a", "vm", "boot-1", boottime.Now).Register(t.Context())
+	_, err := jobLedger.NewBootRegistration("a", testMachine("boot-1")).Register(t.Context())
 	must.NoError(t, err)
 	b := newFakeAgent(t)
 	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
@@ -81,3 +81,9 @@
 	t.Parallel()
 	test.Less(t, 7*time.Second, startBesideAgentWithoutRunner(t, "boot-1"))
 }
+
+func testMachine(bootID string) boottime.Machine {
+	m := boottime.ThisMachine("vm")
+	m.BootID = bootID
+	return m
+}
--- a/internal/ledger/boot.go
+++ b/internal/ledger/boot.go
@@ -26,10 +26,17 @@
 	BootID      string `json:"boot_id,omitempty"`
 	ClockMillis int64  `json:"clock_ms"`
 	StoreMillis int64  `json:"store_ms"`
+	// SharedClock is set if the clock has no offset of the process's own. Rows of earlier versions lack it, and
+	// the time of day.
+	SharedClock     bool  `json:"shared_clock,omitempty"`
+	TimeOfDayMillis int64 `json:"time_of_day_ms,omitempty"`
 }
 
-// maxClockMillis is the highest valid reading of a clock: some 30 years.
-const maxClockMillis = 1e12
+// Highest valid readings: some 30 years of a clock, and a time of day in the year 2255.
+const (
+	maxClockMillis     = 1e12
+	maxTimeOfDayMillis = 9e12
+)
 
 // decodeBoot decodes a row of bootTable. Only another writer stores one that is not valid.
 func decodeBoot(value []byte) (boottime.Reading, error) {
@@ -37,20 +44,20 @@
 	if err := json.Unmarshal(value, &b); err != nil {
 		return boottime.Reading{}, fmt.Errorf("decode boot: %w", err)
 	}
-	if min(b.ClockMillis, b.StoreMillis) < 0 || max(b.ClockMillis, b.StoreMillis) > maxClockMillis {
+	if min(b.ClockMillis, b.StoreMillis, b.TimeOfDayMillis) < 0 || max(b.ClockMillis, b.StoreMillis) > maxClockMillis || b.TimeOfDayMillis > maxTimeOfDayMillis {
 		return boottime.Reading{}, errors.New("decode boot: clock out of range")
 	}
 	return boottime.Reading{
-		Machine: b.Machine, BootID: b.BootID, Clock: time.Duration(b.ClockMillis) * time.Millisecond, Reference: time.Duration(b.StoreMillis) * time.Millisecond,
+		Machine: b.Machine, BootID: b.BootID, PrivateClock: !b.SharedClock, Clock: time.Duration(b.ClockMillis) * time.Millisecond,
+		Reference: time.Duration(b.StoreMillis) * time.Millisecond, TimeOfDay: time.Duration(b.TimeOfDayMillis) * time.Millisecond,
 	}, nil
 }
 
 // BootRegistration registers the boot of its VM in which an agent process runs.
 type BootRegistration struct {
-	ledger          *Ledger
-	agent           string
-	machine, bootID string
-	now             func() time.Duration
+	ledger  *Ledger
+	agent   string
+	machine boottime.Machine
 	// value is what the last attempt wrote, whose outcome may be unknown, and first its result.
 	value []byte
 	first bool
@@ -68,10 +75,9 @@
 // Basis returns why the last call of Register decided as it did.
 func (b *BootRegistration) Basis() BootBasis { return b.basis }
 
-// NewBootRegistration returns a registration for the process of an agent. machine names the VM, bootID
-// is the kernel's id of the boot, empty if unknown, and now the time since the boot.
-func (l *Ledger) NewBootRegistration(agent, machine, bootID string, now func() time.Duration) *BootRegistration {
-	return &BootRegistration{ledger: l, agent: agent, machine: machine, bootID: bootID, now: now}
+// NewBootRegistration returns a registration for the process of an agent on a machine, its VM.
+func (l *Ledger) NewBootRegistration(agent string, machine boottime.Machine) *BootRegistration {
+	return &BootRegistration{ledger: l, agent: agent, machine: machine}
 }
 
 // Register stores the boot. first reports whether it is certain that no earlier process of the agent
@@ -80,7 +86,10 @@
 	k := store.Key{Table: bootTable, Part: b.agent[max(len(b.agent)-1, 0):], Key: b.agent}
 	// A reading that is compared with an earlier one must not be late, one that later ones are
 	// compared with must not be early.
-	before := b.now()
+	m := &b.machine
+	now := boottime.Reading{
+		Machine: m.Name, BootID: m.BootID, PrivateClock: m.PrivateClock, Clock: m.Clock().Truncate(time.Millisecond), TimeOfDay: m.TimeOfDay(),
+	}
 	page, err := b.ledger.store.Read(ctx, store.ReadRequest{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}, 1)
 	if err != nil {
 		return false, fmt.Errorf("read boot: %w", err)
@@ -92,11 +101,15 @@
 			return b.first, nil
 		}
 	}
-	b.first, err = b.firstAfter(ctx, row, boottime.Reading{Machine: b.machine, BootID: b.bootID, Clock: before.Truncate(time.Millisecond), Reference: page.Time})
+	now.Reference = page.Time
+	b.first, err = b.firstAfter(ctx, row, now)
 	if err != nil {
 		return false, err
 	}
-	b.value, err = json.Marshal(bootRow{Machine: b.machine, BootID: b.bootID, ClockMillis: b.now().Milliseconds(), StoreMillis: page.Time.Milliseconds()})
+	b.value, err = json.Marshal(bootRow{
+		Machine: m.Name, BootID: m.BootID, SharedClock: !m.PrivateClock, ClockMillis: m.Clock().Milliseconds(),
+		StoreMillis: page.Time.Milliseconds(), TimeOfDayMillis: now.TimeOfDay.Milliseconds(),
+	})
 	if err != nil {
 		return false, fmt.Errorf("encode boot: %w", err)
 	}
--- a/internal/ledger/boot_test.go
+++ b/internal/ledger/boot_test.go
@@ -8,9 +8,15 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"bamboowood/internal/boottime"
 	"bamboowood/platform/platformtest"
 )
 
+// vm returns a machine with a boot clock.
+func vm(name, bootID string, clock func() time.Duration) boottime.Machine {
+	return boottime.Machine{Name: name, BootID: bootID, Clock: clock, TimeOfDay: func() time.Duration { return time.Duration(time.Now().UnixNano()) }}
+}
+
 // clockFrom returns a boot clock that shows d now.
 func clockFrom(d time.Duration) func() time.Duration {
 	origin := time.Now().Add(-d)
@@ -22,7 +28,7 @@
 func TestBootRegistration_First(t *testing.T) {
 	l, _ := newLedger(t)
 	register := func(bootID string, clock func() time.Duration) bool {
-		first, err := l.NewBootRegistration("10.0.0.1", "vm", bootID, clock).Register(t.Context())
+		first, err := l.NewBootRegistration("10.0.0.1", vm("vm", bootID, clock)).Register(t.Context())
 		must.NoError(t, err)
 		return first
 	}
@@ -42,7 +48,7 @@
 func TestBootRegistration_AnotherVM(t *testing.T) {
 	l, _ := newLedger(t)
 	for _, machine := range []string{"vm", "another"} {
-		first, err := l.NewBootRegistration("10.0.0.1", machine, machine, clockFrom(time.Hour)).Register(t.Context())
+		first, err := l.NewBootRegistration("10.0.0.1", vm(machine, machine, clockFrom(time.Hour))).Register(t.Context())
 		must.NoError(t, err)
 		test.Eq(t, machine == "vm", first, test.Sprint(machine))
 	}
@@ -53,7 +59,7 @@
 func TestBootRegistration_EarlierVersion(t *testing.T) {
 	l, _ := newLedger(t)
 	must.NoError(t, l.RegisterAgent(t.Context(), "10.0.0.1", "10.0.0.1:1"))
-	first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour)).Register(t.Context())
+	first, err := l.NewBootRegistration("10.0.0.1", vm("vm", "a", clockFrom(time.Hour))).Register(t.Context())
 	must.NoError(t, err)
 	test.False(t, first)
 }
@@ -61,7 +67,7 @@
 // Guards against a registration that counts as that of another process because its answer was lost.
 func TestBootRegistration_LostAnswer(t *testing.T) {
 	l, standin := newLedger(t)
-	registration := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour))
+	registration := l.NewBootRegistration("10.0.0.1", vm("vm", "a", clockFrom(time.Hour)))
 	standin.SetFault(platformtest.Lost)
 	_, err := registration.Register(t.Context())
 	must.Error(t, err)
@@ -79,7 +85,7 @@
 		`{"boot_id":1}`, strings.Repeat("[", 20_000), `{"clock_ms":` + strings.Repeat("[", 20_000),
 	} {
 		writeRow(t, s, "boots", "1", "10.0.0.1", value)
-		first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", clockFrom(time.Hour)).Register(t.Context())
+		first, err := l.NewBootRegistration("10.0.0.1", vm("vm", "a", clockFrom(time.Hour))).Register(t.Context())
 		must.NoError(t, err)
 		test.False(t, first, test.Sprint(value[:min(len(value), 40)]))
 	}
@@ -98,13 +104,36 @@
 		l, s := newLedger(t)
 		s.SetClock(100 * time.Millisecond)
 		s.SetClockRate(0)
-		boot := time.Hour
+		boot, timeOfDay := time.Hour, 1000*time.Hour
+		machine := vm("vm", "a", func() time.Duration { return boot })
+		machine.TimeOfDay = func() time.Duration { return timeOfDay }
 		for process := range 2 {
-			first, err := l.NewBootRegistration("10.0.0.1", "vm", "a", func() time.Duration { return boot }).Register(t.Context())
+			first, err := l.NewBootRegistration("10.0.0.1", machine).Register(t.Context())
 			must.NoError(t, err)
 			test.Eq(t, process == 0, first, test.Sprint(name))
-			boot += time.Minute
+			boot, timeOfDay = boot+time.Minute, timeOfDay+time.Minute
 			s.SetClock(storeClock)
 		}
 	}
 }
+
+// Guards against taking an agent process for the first in its boot because of a clock with an offset of its own,
+// or by a row of an earlier version that does not tell whether the clock had one.
+func TestBootRegistration_PrivateClock(t *testing.T) {
+	l, s := newWritableLedger(t)
+	machine := vm("vm", "a", clockFrom(time.Hour))
+	machine.PrivateClock = true
+	first, err := l.NewBootRegistration("10.0.0.1", machine).Register(t.Context())
+	must.NoError(t, err)
+	test.True(t, first)
+	for _, clock := range []time.Duration{time.Minute, 9 * time.Hour} {
+		first, err = l.NewBootRegistration("10.0.0.1", vm("vm", "a", clockFrom(clock))).Register(t.Context())
+		must.NoError(t, err)
+		test.False(t, first, test.Sprint("after a private clock: ", clock))
+		writeRow(t, s, "boots", "1", "10.0.0.1", `{"machine":"vm","boot_id":"a","clock_ms":3600000,"store_ms":1}`)
+		first, err = l.NewBootRegistration("10.0.0.1", vm("vm", "a", clockFrom(clock))).Register(t.Context())
+		must.NoError(t, err)
+		test.False(t, first, test.Sprint("after an earlier version: ", clock))
+		writeRow(t, s, "boots", "1", "10.0.0.1", `{"machine":"vm","boot_id":"a","clock_ms":3600000,"store_ms":1}`)
+	}
+}
