supervisor: a boot that only clocks show does not prove that there is no runner

A new process of an agent that takes itself for the first in a boot of its VM reported at once that it has no runs, before its runner could report; the leader then gave up all of them. If the conclusion is wrong, tasks run twice. Where the kernel's boot id is unchanged it rests on clocks, which contradict the id.

Such a boot now waives the wait for runs of a runner that has been replaced, but the process gives a runner that lives on 4 s to report before it tells the leader that there is none. With another boot id, or without an earlier registration, it reports at once as before.

TestSupervisor_FirstByClockAwaitsReport fails without the wait.

--- a/internal/follower/boot.go
+++ b/internal/follower/boot.go
@@ -1,6 +1,22 @@
 package follower
 
-import "github.com/apex/log"
+import (
+	"github.com/apex/log"
+
+	"bamboowood/internal/boottime"
+	"bamboowood/internal/supervisor"
+)
+
+// bootClaim returns what the registration of a boot shows, given whether the process is the first in its boot.
+func bootClaim(first bool, e boottime.Evidence) supervisor.BootClaim {
+	switch {
+	case !first:
+		return supervisor.LaterInBoot
+	case e == boottime.ClockWentBack || e == boottime.ClockAhead:
+		return supervisor.FirstByClock
+	}
+	return supervisor.FirstInBoot
+}
 
 // logBoot logs a registration of the boot, with the readings from which it was derived.
 func (f *Follower) logBoot(first bool) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -370,7 +370,7 @@
 			switch {
 			case bootRegistered:
 				f.logBoot(first)
-				f.opts.Supervisor.BootRegistered(first)
+				f.opts.Supervisor.BootRegistered(bootClaim(first, f.opts.Boot.Basis().Evidence))
 			case ctx.Err() == nil:
 				f.opts.Logger.WithError(err).Warn("registration of the boot failed")
 			}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -79,7 +79,7 @@
 	s := supervisor.New(supervisor.Options{
 		Runner: r, Logger: logger, Now: boottime.Now, SteadyNow: boottime.Now, MaxLease: 5 * time.Second, FirstToken: 1,
 	})
-	s.BootRegistered(false)
+	s.BootRegistered(supervisor.LaterInBoot)
 	must.NoError(t, s.RunnerReported(t.Context(), job.Runner{ID: "i-1", Service: "desk", Sequence: 1}, ""))
 	f := New(Options{Supervisor: s, Logger: logger, Name: "a", Now: boottime.Now})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/follower/model_test.go
+++ b/internal/follower/model_test.go
@@ -112,7 +112,7 @@
 	sup := supervisor.New(supervisor.Options{
 		Runner: m.runner, Logger: logger, Now: m.now, SteadyNow: m.now, MaxLease: modelLease, FirstToken: m.serial * 1000,
 	})
-	sup.BootRegistered(false)
+	sup.BootRegistered(supervisor.LaterInBoot)
 	m.agent = New(Options{Supervisor: sup, Logger: logger, Name: m.name, Now: m.now})
 	ctx, cancel := context.WithCancel(t.Context())
 	m.ctx, m.kill = ctx, cancel
--- a/internal/supervisor/boot_test.go
+++ b/internal/supervisor/boot_test.go
@@ -24,7 +24,7 @@
 // leader would start no recovered task for the length of a lease.
 func TestSupervisor_FirstProcessOfABoot(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
-		h.BootRegistered(true)
+		h.BootRegistered(FirstInBoot)
 		h.reportNewRunner()
 		snapshot, ok := h.Snapshot()
 		must.True(t, ok)
@@ -63,7 +63,7 @@
 		must.Len(t, 1, u.Refusals)
 		test.Eq(t, RefusedStart{Run: run, Reason: runner.RefusedUnhealthy}, u.Refusals[0])
 		test.SliceEmpty(t, h.fake.starts)
-		h.BootRegistered(false)
+		h.BootRegistered(LaterInBoot)
 		h.startRun(2)
 		synctest.Wait()
 		h.collectUpdates(10 * time.Millisecond)
@@ -82,7 +82,7 @@
 		h.mu.Unlock()
 		_, ok := h.Snapshot()
 		test.False(t, ok, test.Sprint("the boot is not registered"))
-		h.BootRegistered(true)
+		h.BootRegistered(FirstInBoot)
 		snapshot, ok := h.Snapshot()
 		must.True(t, ok)
 		test.Nil(t, snapshot.Runner)
@@ -96,11 +96,44 @@
 	})
 }
 
+// Guards against an empty snapshot of a new process whose VM is taken for booted by its clock alone, while its
+// runner, which has not reported to this process yet, works on the runs of the process before.
+func TestSupervisor_FirstByClockAwaitsReport(t *testing.T) {
+	for name, reports := range map[string]bool{"runner reports": true, "no runner": false} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, nil, func(h *harness) {
+				h.BootRegistered(FirstByClock)
+				_, ok := h.Snapshot()
+				test.False(t, ok, test.Sprint("the runner may be about to report"))
+				if reports {
+					time.Sleep(silentRunnerWait - time.Second)
+					run := job.Run{Task: job.Task{Job: "a"}, Number: 1}
+					h.fake.mu.Lock()
+					h.fake.active = []job.Activity{{Run: run}}
+					h.fake.mu.Unlock()
+					h.reportNewRunner()
+					snapshot, ok := h.Snapshot()
+					must.True(t, ok)
+					test.Zero(t, snapshot.UnlistedFor)
+					must.Len(t, 1, snapshot.Active)
+					test.Eq(t, run, snapshot.Active[0].Run)
+					return
+				}
+				time.Sleep(silentRunnerWait)
+				snapshot, ok := h.Snapshot()
+				must.True(t, ok, must.Sprint("before the lease of an earlier process has expired"))
+				test.Nil(t, snapshot.Runner)
+				test.Zero(t, snapshot.UnlistedFor)
+			})
+		})
+	}
+}
+
 // Guards against a snapshot without a runner that is sent at once although an earlier process in this boot
 // may have started runs, also if the registration of the boot comes late.
 func TestSupervisor_LaterProcessWithoutRunnerWaits(t *testing.T) {
 	runTest(t, nil, func(h *harness) {
-		h.BootRegistered(false)
+		h.BootRegistered(LaterInBoot)
 		_, ok := h.Snapshot()
 		test.False(t, ok)
 		time.Sleep(bootRegistrationWait)
--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -268,7 +268,7 @@
 			Now:      func() time.Duration { return steadyNow() + time.Duration(suspended.Load()) },
 			MaxLease: testLease, FirstToken: 1,
 		})
-		s.BootRegistered(false)
+		s.BootRegistered(LaterInBoot)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/supervisor/snapshot.go
+++ b/internal/supervisor/snapshot.go
@@ -6,21 +6,40 @@
 	"bamboowood/internal/job"
 )
 
-// runsKnown reports whether s.runs has all runs that may be alive. Without a runner in a boot of which this
-// is the first process, only this process can have started any.
+// runsKnown reports whether s.runs has all runs that may be alive.
 func (s *Supervisor) runsKnown() bool {
-	return s.runsListed || s.firstOfBoot && s.runner == nil || s.opts.Now() >= s.runsKnownAt
+	now := s.opts.Now()
+	return s.runsListed || now >= s.runsKnownAt || s.runner == nil && now >= s.noRunnerKnownAt
 }
 
+// BootClaim is what is known of earlier processes of the agent in the current boot of its VM.
+type BootClaim uint8
+
+const (
+	// LaterInBoot: an earlier process may have given leases and started runs.
+	LaterInBoot BootClaim = iota
+	// FirstByClock: this process is the first one, if clocks are right. The kernel doesn't say so.
+	FirstByClock
+	// FirstInBoot: this process is certainly the first one.
+	FirstInBoot
+)
+
+// silentRunnerWait is the time within which a live runner reports. PROTOCOL has an interval of 1.5 s.
+const silentRunnerWait = 4 * time.Second
+
 // BootRegistered records that the ledger has the boot of the VM in which this process runs. No earlier
 // process of the agent can have given a lease or started a run in this boot if this one is the first: each
-// starts runs only once its boot is registered, and the runs of earlier boots ended with the VM.
-func (s *Supervisor) BootRegistered(first bool) {
+// starts runs only once its boot is registered, and the runs of earlier boots ended with the VM. If only
+// clocks show that, a runner that lives on must have had the time to report.
+func (s *Supervisor) BootRegistered(claim BootClaim) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bootRegistered, s.firstOfBoot = true, first
-	if first {
-		s.earlierLeaseUntil = 0
+	s.bootRegistered = true
+	switch claim {
+	case FirstInBoot:
+		s.earlierLeaseUntil, s.noRunnerKnownAt = 0, 0
+	case FirstByClock:
+		s.earlierLeaseUntil, s.noRunnerKnownAt = 0, s.opts.Now()+silentRunnerWait
 	}
 	s.signal(s.notify)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -181,10 +182,10 @@
 	// earlierLeaseUntil is when the leases that an earlier process of this agent gave have expired.
 	earlierLeaseUntil time.Duration
 	// bootRegistered is set once the ledger has that this process runs in the current boot of the VM.
-	// Until bootAwaitedUntil a snapshot waits for that. firstOfBoot is set if no earlier process of this
-	// agent registered in that boot.
+	// Until bootAwaitedUntil a snapshot waits for that. From noRunnerKnownAt on, no run can be alive that this
+	// process has not started, unless there is a runner.
 	bootRegistered   bool
-	firstOfBoot      bool
+	noRunnerKnownAt  time.Duration
 	bootAwaitedUntil time.Duration
 	// restarted is set while the runner has restarted under the same id and has not listed
 	// its runs yet. Starts meant for the previous incarnation may have reached the new one.
@@ -231,7 +232,8 @@
 	throttling, endThrottling := context.WithCancel(context.Background())
 	return &Supervisor{
 		throttling: throttling, endThrottling: endThrottling, bootAwaitedUntil: now + bootRegistrationWait,
-		runsKnownAt: earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
+		noRunnerKnownAt: math.MaxInt64,
+		runsKnownAt:     earlierLeaseUntil, earlierLeaseUntil: earlierLeaseUntil, runnerLeaseUntil: earlierLeaseUntil,
 		opts: opts, endedIncarnations: map[incarnation]bool{}, token: opts.FirstToken, runs: map[job.Run]*taskRun{},
 		notify: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), callSlots: make(chan struct{}, maxCalls),
 		standaloneCap: newStandaloneCap(), withdrawn: newWithdrawnRuns(),
