supervisor: the time of day alone does not show that a runner is old

Cause: a new process of an agent took its runner for one that has served its address for longer than a lease by the time of day alone, and told the leader that no run of a replaced runner can be alive.

The runner's own clock, which begins with it, must agree now.

TestSupervisor_TimeOfDaySteppedAheadSinceStartOfRunner failed before. Found by a reviewer, by reading.

--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -393,3 +393,20 @@
 		test.Positive(t, snapshot.UnlistedFor)
 	})
 }
+
+// Guards against taking a young runner for one that has served its address for longer than a lease, since the
+// time of day was stepped ahead by more than its usual error after its start.
+func TestSupervisor_TimeOfDaySteppedAheadSinceStartOfRunner(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		born := time.Now().Add(-time.Hour).UnixMilli()
+		h.fake.setRunner("i-2", born)
+		h.fake.mu.Lock()
+		h.fake.startedAt = time.Now().Add(-time.Second)
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: born, Sequence: 1}))
+		synctest.Wait()
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Positive(t, snapshot.UnlistedFor)
+	})
+}
--- a/internal/supervisor/snapshot.go
+++ b/internal/supervisor/snapshot.go
@@ -69,9 +69,12 @@
 // knows. There are none if no earlier process gave a lease since the VM booted, or if the current runner
 // has served its address since before the last lease that one may have given to another runner.
 func (s *Supervisor) unlistedFor() time.Duration {
-	if r := s.runner; r != nil && r.StartTime != 0 &&
-		time.Since(time.UnixMilli(r.StartTime)) > s.opts.MaxLease+killTime+maxClockStep {
-		return 0
+	if r := s.runner; r != nil && r.StartTime != 0 && s.runnerClockAt != 0 {
+		// The runner's clock begins with it, and may be slow; the time of day may have been stepped.
+		byClock := s.runnerClock + s.opts.Now() - s.runnerClockAt
+		if min(byClock, time.Since(time.UnixMilli(r.StartTime))) > s.opts.MaxLease+killTime+maxClockStep {
+			return 0
+		}
 	}
 	return max(s.earlierLeaseUntil+killTime-s.opts.Now(), 0)
 }
