leader: how long earlier leaders may grant is told on the leader's clock, not on the store's

Cause: a leader that takes over from an ended process at its address took the grants of leaders before that one for over once the store's clock was 7 s past the time at which the term had been confirmed. A store's clock that gains on time, as one that goes on from a higher base after a restart of the store, ends that wait too early: runs on a silent agent are started again elsewhere while a leader that has lost the store may still extend their lease.

Each renewal now holds when it was sent and until when leaders of earlier terms may grant, both on the clock of the leader that sends it. The next process counts the difference from its own start, which is after the end of the earlier one. The store's clock takes no part. A row of an earlier version has no such time, so that the general bound applies.

TestLeader_WaitAfterRestart keeps its bounds, but its earlier leader stores the new times: a row that has only a time on the store's clock cannot be told from one of a store whose clock has gained. TestGrantsBound likewise. Where a term ended within 7 s of its begin, the wait is longer by the time in which no process of the leader ran; it is never longer than from the begin of the new term.

--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -21,9 +21,6 @@
 	if err != nil {
 		return err
 	}
-	if clock.store != 0 {
-		r.term.SetConfirmedAt(clock.latest(clock.after))
-	}
 	agents, err := retryRead(r, "agents", func() (agents map[string]ledger.Agent, err error) {
 		agents, agentsVersion, err = r.opts.Ledger.Agents(r.ctx)
 		return agents, err
--- a/internal/leader/bound.go
+++ b/internal/leader/bound.go
@@ -37,27 +37,29 @@
 	return grantsBound{since + drifted(grantValidity), true}
 }
 
-// boundOfEnded returns the bound for a term whose leader had certainly ended at a time. clock is a reading of the
-// store's clock since, with the last renewal of the term. Leaders of earlier terms may extend leases until
-// grantValidity after the term was confirmed.
-func boundOfEnded(term ledger.Term, renewal ledger.Renewal, clock storeClock, at time.Duration) grantsBound {
-	if renewal.ConfirmedAt == 0 || renewal.Process != term.Process || clock.store == 0 || renewal.ConfirmedAt > clock.store {
+// boundOfEnded returns the bound for a term whose leader had certainly ended at a time. Leaders of earlier terms may
+// extend leases until the time in the last renewal.
+func boundOfEnded(term ledger.Term, renewal ledger.Renewal, at time.Duration) grantsBound {
+	left := renewal.EarlierGrantsUntil - renewal.SentAt
+	if renewal.SentAt == 0 || renewal.Process != term.Process || left > drifted(grantValidity) {
 		return grantsBound{}
 	}
-	if earlier := renewal.ConfirmedAt + drifted(grantValidity); earlier > clock.store {
-		at = max(at, clock.passed(earlier))
-	}
-	return grantsBound{at, true}
+	return grantsBound{at + drifted(max(left, 0)), true}
 }
 
-// left returns for how long after now a lease may still be extended, rounded up to milliseconds, by leaders of
-// the terms before one that had begun at a time.
-func (b grantsBound) left(now, began time.Duration) time.Duration {
+// end returns until when leaders of the terms before one that had begun at a time may extend leases.
+func (b grantsBound) end(began time.Duration) time.Duration {
 	until := began + grantValidity
 	if b.known {
 		until = min(until, b.until)
 	}
-	return max(until-now+time.Millisecond-1, 0).Truncate(time.Millisecond)
+	return until
+}
+
+// left returns for how long after now a lease may still be extended, rounded up to milliseconds, by leaders of
+// the terms before one that had begun at a time.
+func (b grantsBound) left(now, began time.Duration) time.Duration {
+	return max(b.end(began)-now+time.Millisecond-1, 0).Truncate(time.Millisecond)
 }
 
 // leasesExpire returns when the leases have expired that leaders of the terms before one that had begun at a
--- a/internal/leader/bound_test.go
+++ b/internal/leader/bound_test.go
@@ -18,8 +18,10 @@
 	const at = time.Hour
 	millis := func(d time.Duration) *int64 { ms := d.Milliseconds(); return &ms }
 	resigned := ledger.Term{Number: 2, Resigned: true, EarlierGrantsMillis: millis(5 * time.Second)}
-	term, renewal := ledger.Term{Process: "p/0"}, ledger.Renewal{Process: "p/0", ConfirmedAt: time.Minute}
-	clock := storeClock{before: at, after: at + time.Millisecond, store: 2 * time.Minute}
+	term, renewal := ledger.Term{Process: "p/0"}, ledger.Renewal{Process: "p/0", SentAt: 2 * time.Minute, EarlierGrantsUntil: time.Minute}
+	leftAfter := func(left time.Duration) ledger.Renewal {
+		return ledger.Renewal{Process: "p/0", SentAt: time.Minute, EarlierGrantsUntil: time.Minute + left}
+	}
 	for name, c := range map[string]struct {
 		bound grantsBound
 		want  grantsBound
@@ -31,15 +33,13 @@
 		"resigned, too long":        {boundOfResigned(ledger.Term{Resigned: true, EarlierGrantsMillis: millis(at)}, at), grantsBound{}},
 		"unrenewed":                 {boundOfUnrenewed(ledger.Term{Number: 1}, at), grantsBound{at + drifted(grantValidity), true}},
 		"unrenewed, unreadable":     {boundOfUnrenewed(ledger.Term{Unreadable: true}, at), grantsBound{}},
-		"ended":                     {boundOfEnded(term, renewal, clock, at), grantsBound{at, true}},
+		"ended":                     {boundOfEnded(term, renewal, at), grantsBound{at, true}},
 		"ended, begun shortly before": {
-			boundOfEnded(term, ledger.Renewal{Process: "p/0", ConfirmedAt: clock.store - time.Second}, clock, at),
-			grantsBound{clock.after + drifted(drifted(grantValidity)-time.Second), true},
+			boundOfEnded(term, leftAfter(6*time.Second), at), grantsBound{at + drifted(6*time.Second), true},
 		},
-		"ended, not confirmed":         {boundOfEnded(term, ledger.Renewal{Process: "p/0"}, clock, at), grantsBound{}},
-		"ended, renewal of another":    {boundOfEnded(ledger.Term{Process: "p/1"}, renewal, clock, at), grantsBound{}},
-		"ended, clock unknown":         {boundOfEnded(term, renewal, storeClock{before: at, after: at}, at), grantsBound{}},
-		"ended, clock reset meanwhile": {boundOfEnded(term, renewal, storeClock{before: at, after: at, store: time.Second}, at), grantsBound{}},
+		"ended, earlier version":    {boundOfEnded(term, ledger.Renewal{Process: "p/0"}, at), grantsBound{}},
+		"ended, renewal of another": {boundOfEnded(ledger.Term{Process: "p/1"}, renewal, at), grantsBound{}},
+		"ended, out of range":       {boundOfEnded(term, leftAfter(at), at), grantsBound{}},
 	} {
 		test.Eq(t, c.want, c.bound, test.Sprint(name))
 	}
@@ -98,9 +98,7 @@
 		return startBesideSilentAgent(t, func(jobLedger *ledger.Ledger) {
 			old, err := jobLedger.BeginTerm(t.Context(), ledger.Term{}, ledger.NoLeader, "10.0.0.1:1", "p0/0")
 			must.NoError(t, err)
-			now, err := jobLedger.StoreTime(t.Context())
-			must.NoError(t, err)
-			old.SetConfirmedAt(now - confirmedFor)
+			old.Clock, old.EarlierGrantsUntil = boottime.Now, boottime.Now()+grantValidity-confirmedFor
 			must.NoError(t, old.Renew(t.Context()))
 		})
 	}
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -224,13 +224,12 @@
 // boundOfEarlierProcess returns the bound for the term of an earlier process at this address. It is unknown if the
 // store does not answer.
 func (l *Leader) boundOfEarlierProcess(ctx context.Context, term ledger.Term) grantsBound {
-	before := l.opts.Now()
-	renewal, at, err := l.opts.Ledger.Renewal(ctx)
+	renewal, err := l.opts.Ledger.Renewal(ctx)
 	if err != nil {
 		l.opts.Logger.WithError(err).Warn("renewal read failed")
 		return grantsBound{}
 	}
-	return boundOfEnded(term, renewal, storeClock{before, l.opts.Now(), at}, l.runBegan)
+	return boundOfEnded(term, renewal, l.runBegan)
 }
 
 // awaitTermChange waits until another term begins or the leader resigns this one. It
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -91,6 +91,7 @@
 // the end of the previous term is.
 func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound) error {
 	opts, began := l.opts, l.opts.Now()
+	term.Clock, term.EarlierGrantsUntil = opts.Now, grants.end(began)
 	opts.Planner.Term = term.Term.Number
 	opts.Logger = l.opts.Logger.WithField("term", term.Term.Number)
 	group, groupCtx := errgroup.WithContext(ctx)
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -7,9 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"bamboowood/internal/store"
@@ -63,53 +61,59 @@
 // RenewalVersion returns a number that changes with each renewal of the term; 0 if there has
 // been none.
 func (l *Ledger) RenewalVersion(ctx context.Context) (int64, error) {
-	renewal, _, err := l.Renewal(ctx)
+	renewal, err := l.Renewal(ctx)
 	return renewal.Version, err
 }
 
-// Renewal is the last renewal of a term.
+// Renewal is the last renewal of a term. Its times are on the clock of the process that sent it; 0 if unknown.
 type Renewal struct {
 	// Version changes with each renewal; 0 if there has been none.
 	Version int64
 	// Process is that of Term.
 	Process string
-	// ConfirmedAt is a time, on the store's clock, at which the term had begun: no earlier term was renewed after
-	// it. It is 0 if unknown.
-	ConfirmedAt time.Duration
+	// SentAt is when the renewal was sent, or earlier.
+	SentAt time.Duration
+	// EarlierGrantsUntil is that of HeldTerm.
+	EarlierGrantsUntil time.Duration
 }
 
-// confirmedLabel is the label of Renewal.ConfirmedAt, which follows the process.
-const confirmedLabel = "confirmed-ms="
+// Labels of the times in a renewal, which follow the process.
+const sentLabel, earlierGrantsLabel = "sent-ms=", "earlier-grants-until-ms="
 
-// Renewal returns the last renewal and the time on the store's clock, 0 if the store does not tell it.
-func (l *Ledger) Renewal(ctx context.Context) (Renewal, time.Duration, error) {
+// Renewal returns the last renewal.
+func (l *Ledger) Renewal(ctx context.Context) (Renewal, error) {
 	k := mainKey(renewalTable, leaderKey)
 	page, err := l.store.Read(ctx, store.ReadRequest{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}, 1)
 	if err != nil {
-		return Renewal{}, 0, fmt.Errorf("read renewal: %w", err)
+		return Renewal{}, fmt.Errorf("read renewal: %w", err)
 	}
 	if len(page.Rows) == 0 {
-		return Renewal{}, page.Time, nil
+		return Renewal{}, nil
 	}
-	process, confirmed, _ := strings.Cut(string(page.Rows[0].Value), " ")
-	r := Renewal{Version: page.Rows[0].Version, Process: process}
-	if at, err := labelledMillis(confirmed, confirmedLabel); err == nil {
-		r.ConfirmedAt = at
-	}
-	return r, page.Time, nil
+	return decodeRenewal(page.Rows[0]), nil
 }
 
-func (h *HeldTerm) renewalValue() []byte {
-	value := []byte(h.Term.Process)
-	if at := h.confirmedMillis.Load(); at > 0 {
-		value = strconv.AppendInt(append(value, " "+confirmedLabel...), at, 10)
+func decodeRenewal(row store.Row) Renewal {
+	fields := strings.Split(string(row.Value), " ")
+	r := Renewal{Version: row.Version, Process: fields[0]}
+	if len(fields) != 3 {
+		return r
+	}
+	sent, errSent := labelledMillis(fields[1], sentLabel)
+	earlier, errEarlier := labelledMillis(fields[2], earlierGrantsLabel)
+	if errSent == nil && errEarlier == nil && earlier > 0 {
+		r.SentAt, r.EarlierGrantsUntil = sent, earlier
 	}
-	return value
+	return r
 }
 
-// SetConfirmedAt sets the time that further renewals hold as Renewal.ConfirmedAt.
-func (h *HeldTerm) SetConfirmedAt(at time.Duration) {
-	h.confirmedMillis.Store((at + time.Millisecond - 1).Milliseconds())
+func (h *HeldTerm) renewal() store.Write {
+	value := []byte(h.Term.Process)
+	if h.Clock != nil {
+		until := (h.EarlierGrantsUntil + time.Millisecond - 1).Milliseconds()
+		value = fmt.Appendf(value, " %s%d %s%d", sentLabel, h.Clock().Milliseconds(), earlierGrantsLabel, until)
+	}
+	return store.Write{Key: mainKey(renewalTable, leaderKey), Value: value}
 }
 
 func decodeTerm(row store.Row) Term {
@@ -122,17 +126,20 @@
 }
 
 // HeldTerm is a term that this process leads. Its methods are not safe for
-// concurrent use, except Renew and SetConfirmedAt.
+// concurrent use, except Renew.
 type HeldTerm struct {
 	ledger *Ledger
 	Term   Term
+	// Clock is the clock of this process. If it is nil, renewals hold no times. It and EarlierGrantsUntil do not
+	// change once Renew has been called.
+	Clock func() time.Duration
+	// EarlierGrantsUntil is a time after which leaders of earlier terms extend no leases.
+	EarlierGrantsUntil time.Duration
 	// Renewed reports whether BeginTerm wrote the term and thereby renewed it. A term that
 	// BeginTerm resumed may have begun long ago.
 	Renewed bool
 	// progressVersions holds the version of each job's row in progressTable.
 	progressVersions map[string]int64
-	// confirmedMillis is Renewal.ConfirmedAt.
-	confirmedMillis atomic.Int64
 	// unconfirmed is a transaction without an answer: it may have been applied.
 	unconfirmed *store.Tx
 }
@@ -192,7 +199,7 @@
 func (h *HeldTerm) Renew(ctx context.Context) error {
 	return conflictAsDeposed(h.ledger.apply(ctx, store.Tx{
 		Expect: []store.Expect{h.expectTerm()},
-		Writes: []store.Write{{Key: mainKey(renewalTable, leaderKey), Value: h.renewalValue()}},
+		Writes: []store.Write{h.renewal()},
 	}))
 }
 
