leader, ledger: records of lost agents are on the clock of the leader that writes them

Cause: a leader recorded on the store's clock until when runs may be alive on a lost agent, and a later one started their tasks elsewhere once that clock was past the time. A store's clock that gains on time after the record, as one that goes on from a higher base after a restart of the store, is past it while the runs go on.

The record is now on the clock of the leader that writes it, with the leader's process, and each renewal and the resignation tell that clock. A later leader thus knows what it showed at a time on its own, by the last renewal of the previous term. Without that, the recorded time that is left counts from when the record is read. Since only the clock of the previous term is known, a leader writes records of earlier ones again; these keep the version of the store from which on nothing has been started on the agent. Records of earlier versions are read as a duration; earlier versions take the new ones for no address, as they did with records before.

TestLeader_StoreClockAfterRecord/ahead and /fast failed before: a task started 2.5 s after its agent was lost, instead of 4.9 s at the earliest. /begins_anew failed, too, by a wait of over 10 s, the bound of the term. All pass now, and TestLeader_RecordIsWrittenAgain. go test -race of both packages passes. TestLeader_LostAgentIsRecorded reads the recorded time without converting it from the store's clock; its bounds, and those of all other tests of lost agents, are unchanged.

--- a/internal/leader/agents.go
+++ b/internal/leader/agents.go
@@ -120,9 +120,12 @@
 	if a.Version <= c.version {
 		return
 	}
-	c.version, c.registered = a.Version, a.Lost == ledger.Lost{}
+	c.version, c.registered, c.lostVersion = a.Version, a.Lost == ledger.Lost{}, a.Lost.Since
 	if !c.registered {
-		c.recordedVersion = a.Version
+		// A later leader knows the clock of the last one only, so that records of others are written again.
+		if a.Lost.Process == c.leadership.term.Term.Process {
+			c.recordedVersion = a.Version
+		}
 		return
 	}
 	if c.leadership.recovered {
--- a/internal/leader/begin.go
+++ b/internal/leader/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/apex/log"
 
@@ -16,11 +17,6 @@
 func (r *leadership) recoverState() error {
 	began := r.opts.Now()
 	var agentsVersion int64
-	// The clock is read before the registrations, so that it is not later than any record that is read.
-	clock, err := retryRead(r, "store clock", r.readStoreClock)
-	if err != nil {
-		return err
-	}
 	agents, err := retryRead(r, "agents", func() (agents map[string]ledger.Agent, err error) {
 		agents, agentsVersion, err = r.opts.Ledger.Agents(r.ctx)
 		return agents, err
@@ -28,8 +24,8 @@
 	if err != nil {
 		return err
 	}
-	r.addUnreportedAgents(agents, clock)
 	readAt := r.opts.Now()
+	r.addUnreportedAgents(agents, readAt)
 	contents, err := r.readJobs()
 	if err != nil {
 		return err
@@ -125,15 +121,16 @@
 }
 
 // addUnreportedAgents adds all agents to the planner as unreported, since they may have runs of
-// an earlier leader until their leases have expired. Sessions start only after all agents have been added.
-func (r *leadership) addUnreportedAgents(agents map[string]ledger.Agent, clock storeClock) {
+// an earlier leader until their leases have expired. Sessions start only after all agents have been added. The
+// registrations were read before readAt.
+func (r *leadership) addUnreportedAgents(agents map[string]ledger.Agent, readAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	bound := r.grants.leasesExpire(r.began, r.opts.LeaseDuration)
 	for id, a := range agents {
-		r.planner.AddUnreportedAgent(id, clock.expiry(a.Lost, bound))
+		r.planner.AddUnreportedAgent(id, r.previous.expiry(a.Lost, readAt, bound))
 		if a.Lost != (ledger.Lost{}) {
-			r.planner.AgentLostAt(id, a.Version)
+			r.planner.AgentLostAt(id, a.Lost.Since)
 		}
 	}
 	for id, a := range agents {
--- a/internal/leader/bound.go
+++ b/internal/leader/bound.go
@@ -40,11 +40,10 @@
 // boundOfEnded returns the bound for a term whose leader had certainly ended at a time. Leaders of earlier terms may
 // extend leases until the time in the last renewal.
 func boundOfEnded(term ledger.Term, renewal ledger.Renewal, at time.Duration) grantsBound {
-	left := renewal.EarlierGrantsUntil - renewal.SentAt
-	if renewal.SentAt == 0 || renewal.Process != term.Process || left > drifted(grantValidity) {
+	if renewal.SentAt == 0 || renewal.Process != term.Process || renewal.EarlierGrantsUntil-renewal.SentAt > drifted(grantValidity) {
 		return grantsBound{}
 	}
-	return grantsBound{at + drifted(max(left, 0)), true}
+	return grantsBound{clockOf(renewal, at).passed(renewal.EarlierGrantsUntil), true}
 }
 
 // end returns until when leaders of the terms before one that had begun at a time may extend leases.
--- a/internal/leader/campaign.go
+++ b/internal/leader/campaign.go
@@ -162,17 +162,20 @@
 	} else {
 		l.observe(term)
 	}
-	renewal, grants := ledger.NoLeader, boundOfResigned(term, readAt)
-	if l.ledByEarlierProcess(term) {
-		grants = l.boundOfEarlierProcess(ctx, term)
-	}
-	if !l.leaderless(term) {
-		var since time.Duration
-		var expired bool
-		if renewal, since, expired, err = l.watch(ctx, term, version); err != nil || !expired {
+	renewal, grants, previous := ledger.NoLeader, boundOfResigned(term, readAt), leaderClock{}
+	switch {
+	case !l.leaderless(term):
+		last, since, expired, err := l.watch(ctx, term, version)
+		if err != nil || !expired {
 			return err
 		}
-		grants = boundOfUnrenewed(term, since)
+		renewal, grants, previous = last.Version, boundOfUnrenewed(term, since), clockOf(last, since)
+	case term.Number != 0:
+		last := l.lastRenewal(ctx)
+		previous = clockOf(last, l.opts.Now())
+		if l.ledByEarlierProcess(term) {
+			grants = boundOfEnded(term, last, l.runBegan)
+		}
 	}
 	process := fmt.Sprintf("%s/%d", l.opts.Process, l.termsLed)
 	if term.Process != process {
@@ -192,7 +195,7 @@
 	// A term that this process has led is not resumed, because its run numbers are used:
 	// the counter gives the next term another process name.
 	l.termsLed++
-	return l.lead(ctx, held, sent, grants)
+	return l.lead(ctx, held, sent, grants, previous)
 }
 
 func (l *Leader) observe(term ledger.Term) {
@@ -221,15 +224,13 @@
 		!strings.HasPrefix(term.Process, l.opts.Process+"/")
 }
 
-// boundOfEarlierProcess returns the bound for the term of an earlier process at this address. It is unknown if the
-// store does not answer.
-func (l *Leader) boundOfEarlierProcess(ctx context.Context, term ledger.Term) grantsBound {
+// lastRenewal returns the last renewal of a term that has no leader; the zero value if the store does not answer.
+func (l *Leader) lastRenewal(ctx context.Context) ledger.Renewal {
 	renewal, err := l.opts.Ledger.Renewal(ctx)
 	if err != nil {
 		l.opts.Logger.WithError(err).Warn("renewal read failed")
-		return grantsBound{}
 	}
-	return boundOfEnded(term, renewal, l.runBegan)
+	return renewal
 }
 
 // awaitTermChange waits until another term begins or the leader resigns this one. It
@@ -258,11 +259,11 @@
 
 // watch returns true once the version of the term's renewal has been unchanged for
 // takeoverAfter, and false when the term has changed. The leader may renew the term until the
-// next one begins, so the call that begins it must expect the returned version. It has been the
-// version since a time at the latest.
+// next one begins, so the call that begins it must expect the returned renewal's version. It has
+// been the last renewal since a time at the latest.
 func (l *Leader) watch(
 	ctx context.Context, term ledger.Term, version int64,
-) (renewal int64, since time.Duration, expired bool, err error) {
+) (renewal ledger.Renewal, since time.Duration, expired bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changed := make(chan error, 1)
@@ -274,20 +275,20 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return 0, 0, false, ctx.Err()
+			return ledger.Renewal{}, 0, false, ctx.Err()
 		case err := <-changed:
-			return 0, 0, false, err
+			return ledger.Renewal{}, 0, false, err
 		case <-ticker.C:
 		}
-		renewal, err = l.opts.Ledger.RenewalVersion(ctx)
+		renewal, err = l.opts.Ledger.Renewal(ctx)
 		switch now := l.opts.Now(); {
 		case err != nil:
 			l.opts.Logger.WithError(err).Warn("renewal read failed")
-		case renewal != lastRenewal:
-			lastRenewal, unchangedSince = renewal, now
+		case renewal.Version != lastRenewal:
+			lastRenewal, unchangedSince = renewal.Version, now
 		case now-unchangedSince > takeoverAfter:
 			l.opts.Logger.WithFields(log.Fields{
-				"renewal": renewal, "age": (now - unchangedSince).String(),
+				"renewal": renewal.Version, "age": (now - unchangedSince).String(),
 			}).Warn("leader stopped renewing its term")
 			return renewal, unchangedSince, true, nil
 		}
--- a/internal/leader/cancels.go
+++ b/internal/leader/cancels.go
@@ -45,21 +45,21 @@
 	if len(cancels) == 0 {
 		return nil
 	}
-	clock, err := r.readStoreClock()
-	if err != nil || clock.store == 0 {
+	now, err := r.opts.Ledger.StoreTime(r.ctx)
+	if err != nil || now == 0 {
 		return err
 	}
 	retention := max(r.opts.Planner.EndedRetention, minCancelRetention)
 	var unmarked, expired []ledger.Cancel
 	for _, c := range cancels {
 		switch {
-		case c.UnmatchedAt == 0 || c.UnmatchedAt > clock.store: // the latter if the store's clock has been reset
+		case c.UnmatchedAt == 0 || c.UnmatchedAt > now: // the latter if the store's clock has been reset
 			unmarked = append(unmarked, c)
-		case clock.store-c.UnmatchedAt >= retention:
+		case now-c.UnmatchedAt >= retention:
 			expired = append(expired, c)
 		}
 	}
-	marked, err := r.term.MarkUnmatched(r.ctx, unmarked, clock.store)
+	marked, err := r.term.MarkUnmatched(r.ctx, unmarked, now)
 	if err != nil {
 		return err
 	}
--- a/internal/leader/leadership.go
+++ b/internal/leader/leadership.go
@@ -70,6 +70,8 @@
 	cancelsAt time.Duration
 	// grants bounds until when leaders of earlier terms extend leases.
 	grants grantsBound
+	// previous is the clock of the process that led the previous term.
+	previous leaderClock
 	// renewedAt is when the last successful term renewal was sent.
 	renewedAt time.Duration
 
@@ -88,8 +90,10 @@
 
 // lead leads a term until it ends. sent is when the call that began the term was sent. The
 // term is renewed and agents get leases while the ledger is still being read. grants is known if
-// the end of the previous term is.
-func (l *Leader) lead(ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound) error {
+// the end of the previous term is, and previous if its last renewal is.
+func (l *Leader) lead(
+	ctx context.Context, term *ledger.HeldTerm, sent time.Duration, grants grantsBound, previous leaderClock,
+) error {
 	opts, began := l.opts, l.opts.Now()
 	term.Clock, term.EarlierGrantsUntil = opts.Now, grants.end(began)
 	opts.Planner.Term = term.Term.Number
@@ -97,7 +101,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	r := &leadership{
 		leader: l, opts: opts, term: term, ctx: groupCtx, planner: planner.New(opts.Planner), conns: map[string]*agentConn{},
-		began: began, held: newHeldInputs(), grants: grants, renewedAt: sent, earlyCancels: map[string]bool{},
+		began: began, held: newHeldInputs(), grants: grants, previous: previous, renewedAt: sent, earlyCancels: map[string]bool{},
 		unmatchedCancels: map[string]ledger.Cancel{}, reservedRoom: map[string]reservation{},
 		deadAgents: map[string]bool{}, budget: newBudget(opts.LinkRate),
 		wakePlan: make(chan struct{}, 1), wakeCommit: make(chan struct{}, 1), wakeRenew: make(chan struct{}, 1),
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -67,7 +67,9 @@
 	// removed last, recordedVersion of the one that says that the agent is lost. If registered is false,
 	// the registration may have been removed or say so.
 	version, removedVersion, recordedVersion int64
-	registered                               bool
+	// lostVersion is that of ledger.Lost.Since if the registration says that the agent is lost, and otherwise 0.
+	lostVersion int64
+	registered  bool
 	// inSession is set while a session has messages of the agent; lostSince is when the last one ended.
 	inSession bool
 	lostSince time.Duration
--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -22,31 +22,38 @@
 	minLostLeft = 500 * time.Millisecond
 )
 
-// storeClock relates the store's clock to that of this process: the store answered with its time between before
-// and after. The two clocks gain on each other by at most leaseClockDrift.
-type storeClock struct{ before, after, store time.Duration }
+// leaderClock relates the clock of the process that led the previous term to that of this process: it showed reading
+// at seenAt, or earlier. The zero value is an unknown clock. The two clocks gain on each other by at most
+// leaseClockDrift.
+type leaderClock struct {
+	process         string
+	reading, seenAt time.Duration
+}
 
-// latest returns the latest time of the store's clock at a later time of this process's clock.
-func (c storeClock) latest(at time.Duration) time.Duration { return c.store + drifted(at-c.before) }
+// clockOf returns the clock of a process that had sent a renewal at a time.
+func clockOf(renewal ledger.Renewal, at time.Duration) leaderClock {
+	if renewal.SentAt == 0 {
+		return leaderClock{}
+	}
+	return leaderClock{process: renewal.Process, reading: renewal.SentAt, seenAt: at}
+}
 
-// passed returns by when a time of the store's clock has passed.
-func (c storeClock) passed(at time.Duration) time.Duration {
-	return c.after + drifted(max(at-c.store, 0))
+// passed returns by when a time of the leader's clock has passed.
+func (c leaderClock) passed(at time.Duration) time.Duration {
+	return c.seenAt + drifted(max(at-c.reading, 0))
 }
 
-// expiry returns by when the runs on an agent have ended, which is bound at the latest. A record is of no use
-// if the store's clock has been reset since it was written.
-func (c storeClock) expiry(lost ledger.Lost, bound time.Duration) time.Duration {
-	if lost == (ledger.Lost{}) || c.store == 0 || lost.At > c.store {
+// expiry returns by when the runs on an agent have ended, which is bound at the latest. A record, if there is one,
+// was there at readAt.
+func (c leaderClock) expiry(lost ledger.Lost, readAt, bound time.Duration) time.Duration {
+	if lost == (ledger.Lost{}) {
 		return bound
 	}
-	return min(c.passed(lost.Until), bound)
-}
-
-func (r *leadership) readStoreClock() (storeClock, error) {
-	before := r.opts.Now()
-	t, err := r.opts.Ledger.StoreTime(r.ctx)
-	return storeClock{before, r.opts.Now(), t}, err
+	bound = min(bound, readAt+drifted(lost.Until-lost.At))
+	if c.process == "" || lost.Process != c.process {
+		return bound
+	}
+	return min(bound, c.passed(lost.Until))
 }
 
 // recordLostLoop records lost agents, so that a later leader waits for them no longer than this one.
@@ -70,17 +77,7 @@
 }
 
 func (r *leadership) recordLost() error {
-	r.mu.Lock()
-	pending := len(r.lostConns(r.opts.Now())) > 0
-	r.mu.Unlock()
-	if !pending {
-		return nil
-	}
-	clock, err := r.readStoreClock()
-	if err != nil || clock.store == 0 {
-		return err
-	}
-	for records := range slices.Chunk(r.lostRecords(clock), ledger.MaxLostAgents) {
+	for records := range slices.Chunk(r.lostRecords(), ledger.MaxLostAgents) {
 		versions, err := r.term.RecordLost(r.ctx, records)
 		r.lostRecorded(versions)
 		countLostRecords("changed", len(records)-len(versions))
@@ -106,15 +103,16 @@
 
 // lostRecords returns the records of lost agents. From now on they count as not registered, whether or not the
 // store writes the record: they get no lease and nothing is started on them until they are registered again.
-func (r *leadership) lostRecords(clock storeClock) []ledger.LostAgent {
+func (r *leadership) lostRecords() []ledger.LostAgent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.opts.Now()
 	var records []ledger.LostAgent
-	for _, c := range r.lostConns(r.opts.Now()) {
+	for _, c := range r.lostConns(now) {
 		until, _ := r.planner.LeaseExpiry(c.id)
 		c.registered = false
 		records = append(records, ledger.LostAgent{
-			Name: c.id, Address: c.address, Version: c.version, Lost: ledger.Lost{Until: clock.latest(until), At: clock.store},
+			Name: c.id, Address: c.address, Version: c.version, Lost: ledger.Lost{Until: until, At: now, Since: c.lostVersion},
 		})
 	}
 	return records
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -61,6 +61,9 @@
 	for _, row := range rows {
 		if !row.Deleted && row.Part == mainPart {
 			address, lost := decodeRegistration(row.Value)
+			if lost != (Lost{}) && lost.Since == 0 {
+				lost.Since = row.Version
+			}
 			found[row.Key] = Agent{Address: address, Version: row.Version, Lost: lost}
 		}
 	}
--- a/internal/ledger/term.go
+++ b/internal/ledger/term.go
@@ -203,7 +203,7 @@
 	}))
 }
 
-// Resign marks the term as resigned, so that another entry can take over at once.
+// Resign marks the term as resigned, so that another entry can take over at once, and renews it.
 func (h *HeldTerm) Resign(ctx context.Context) error {
 	t := h.Term
 	t.Resigned = true
@@ -213,7 +213,7 @@
 	}
 	return h.ledger.apply(ctx, store.Tx{
 		Expect: []store.Expect{h.expectTerm()},
-		Writes: []store.Write{{Key: mainKey(termTable, leaderKey), Value: value}},
+		Writes: []store.Write{{Key: mainKey(termTable, leaderKey), Value: value}, h.renewal()},
 	})
 }
 
