leader: remove the registration under which an agent died, not its next one

What callers see: after a change of leaders, tasks that run on an agent that had just returned are started a second time elsewhere (TWICE). All runs of the agent are affected at once.

Cause: the leader decided that an agent is dead, registered other agents again, which takes a call of the store, and only then read the version of the dead agent's registration. An agent that registered in between lost that new registration, while the leader kept it as registered and started tasks on it. The next leader does not know the agent and does not wait for its report.

Change: the version is read when the decision is made. A registration that is written later conflicts and stays.

The race is set up by holding the store's answer to the registration of another agent; that it happened to the users is not shown.

--- a/internal/leader/agents.go
+++ b/internal/leader/agents.go
@@ -28,7 +28,8 @@
 	for _, id := range r.planner.TakeDeadAgents() {
 		r.deadAgents[id] = true
 	}
-	var dead, returned []*agentConn
+	var dead []ledger.Registration
+	var returned []*agentConn
 	for id, conn := range r.conns {
 		if !conn.registered && (len(conn.buffered) > 0 || conn.inSession && !r.planner.AgentDead(id)) {
 			returned = append(returned, conn)
@@ -42,7 +43,10 @@
 			// registered again below
 		case r.planner.AgentDead(id):
 			conn.registered = false
-			dead = append(dead, conn)
+			if conn.removedVersion != conn.version {
+				// The agent may register again from now on.
+				dead = append(dead, ledger.Registration{Name: id, Address: conn.address, Version: conn.version})
+			}
 		}
 	}
 	r.mu.Unlock()
@@ -51,33 +55,16 @@
 			return err
 		}
 	}
-	for conns := range slices.Chunk(dead, ledger.MaxRegistrations) {
-		if err := r.removeAgents(conns); err != nil {
+	for agents := range slices.Chunk(dead, ledger.MaxRegistrations) {
+		if err := r.removeAgents(agents); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// registrations returns the registrations of the agents, except those that have been removed.
-func (r *leadership) registrations(conns []*agentConn) []ledger.Registration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var found []ledger.Registration
-	for _, c := range conns {
-		if c.removedVersion != c.version {
-			found = append(found, ledger.Registration{Name: c.id, Address: c.address, Version: c.version})
-		}
-	}
-	return found
-}
-
 // removeAgents removes the registrations of dead agents, at most ledger.MaxRegistrations.
-func (r *leadership) removeAgents(dead []*agentConn) error {
-	agents := r.registrations(dead)
-	if len(agents) == 0 {
-		return nil
-	}
+func (r *leadership) removeAgents(agents []ledger.Registration) error {
 	if err := r.term.RemoveAgents(r.ctx, agents); err != nil {
 		return err
 	}
--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -188,3 +188,51 @@
 	awaitRegistered(count)
 	test.LessEq(t, count, transactions.Load(), test.Sprint("removals and registrations"))
 }
+
+// Guards against removing the registration that an agent has just written, as it returns, instead of the one under
+// which it died: the next leader does not know the agent and starts the tasks elsewhere that run there (TWICE).
+func TestLeader_AgentReturnsWhileItIsRemoved(t *testing.T) {
+	hooked, _ := newHookedStore(t)
+	jobLedger := newLedger(hooked)
+	dead, other, b := newFakeAgent(t), newFakeAgent(t), newFakeAgent(t)
+	dead.noRunner, other.noRunner, b.noRunner = true, true, true
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	blocked := false
+	hooked.onApply = func(tx store.Tx) error {
+		if len(tx.Writes) == 1 && tx.Writes[0].Key.Table == "agents" && tx.Writes[0].Key.Key == "other" && blocked {
+			entered <- struct{}{}
+			<-release
+		}
+		return nil
+	}
+	for name, agent := range map[string]*fakeAgent{"a": dead, "other": other, "b": b} {
+		must.NoError(t, jobLedger.RegisterAgent(t.Context(), name, agent.address))
+	}
+	l, stop := runLeader(t, jobLedger)
+	awaitLeading(t, l)
+	for _, agent := range []*fakeAgent{dead, other, b} {
+		agent.await(t, hasGrant)
+	}
+	// Agent a is lost, and another one returns at the same time, whose registration takes a while.
+	r := l.leadership.Load()
+	r.mu.Lock()
+	blocked = true
+	dead.set(func() { dead.refuse = true })
+	r.conns["other"].registered = false
+	r.planner.AgentLost("a", 0)
+	r.mu.Unlock()
+	dead.closeSessions()
+	<-entered
+	must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+	returned := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1})
+	must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", returned.address))
+	returned.await(t, hasGrant)
+	close(release)
+	time.Sleep(500 * time.Millisecond)
+	test.True(t, registered(t, jobLedger, "a"))
+	stop()
+	b.set(func() { b.noRunner = false })
+	runLeaderWith(t, jobLedger, func(o *Options) { o.Address, o.Process = "10.0.0.2:1", "p2" })
+	time.Sleep(2 * time.Second)
+	test.Zero(t, b.countStarts())
+}
