supervisor: a departure without a start time does not prove that the runner leaves

What callers see: tasks that must run once run twice. All runs of one runner are started again elsewhere while they go on.

Cause: a runner's DELETE without `born` counted for any incarnation of its id. One of an earlier incarnation that is delayed or repeated marked the current one as left. Its runs were then given up, and not left to the end of their lease, 300 ms after its address began to refuse connections, or as soon as another runner answered there. With that mark the leader also stopped the runs on the runner, which was not leaving.

Change: a departure without a start time counts only if the current incarnation has reported that it drains. Otherwise the runner counts as one that does not answer, with all of its runs, until it answers the next renewal: nothing new is started there, and no run is stopped or given up. A departure with the start time of the current incarnation counts as before. Departures of runners that drain are applied at once: PROTOCOL's example of DELETE has no body, so its start time may be missing in each of them.

TestSupervisor_NewIncarnation and TestSupervisor_PartialSnapshotEndsWithTheLease sent a departure without a start time of a runner that had not said that it drains, which PROTOCOL excludes; the runner says so now. What they expect is unchanged.

--- a/internal/supervisor/endpages_test.go
+++ b/internal/supervisor/endpages_test.go
@@ -79,6 +79,7 @@
 				must.True(t, ok)
 				must.True(t, isPartial(snapshot))
 				if left {
+					must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true}))
 					h.RunnerLeft("i-1", 0)
 				}
 				h.fake.setRenewErr(runner.ErrNoListener)
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -159,14 +159,23 @@
 	s.opts.Logger.WithFields(fields).Warn("runner report ignored")
 }
 
-// RunnerLeft marks an incarnation of the runner as draining with no time remaining. A
-// startTime of 0 matches every incarnation of the id.
+// RunnerLeft applies the departure of an incarnation of the runner. A startTime of 0 means that the departure does not
+// name it. It may then be a delayed one of an earlier incarnation under the same id, and counts as that of the current one
+// only if that has reported that it drains. Otherwise nothing is started before the runner has answered.
 func (s *Supervisor) RunnerLeft(id string, startTime int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.runner == nil || s.runner.ID != id || startTime != 0 && startTime != s.runner.StartTime {
 		return
 	}
+	if startTime == 0 && !s.runner.Draining {
+		s.opts.Logger.WithFields(log.Fields{
+			"runner": id, "born": s.runner.StartTime, "runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
+		}).Warn("departure without a start time of a runner that does not drain")
+		s.setUnreachable(true)
+		s.signal(s.renewNow)
+		return
+	}
 	s.left = true
 	left := *s.runner
 	left.Draining, left.Remaining = true, 0
--- a/internal/supervisor/life_test.go
+++ b/internal/supervisor/life_test.go
@@ -25,6 +25,7 @@
 		h.fake.active, h.fake.ends, h.fake.acknowledgedEnd = nil, nil, 0
 		h.fake.mu.Unlock()
 		h.TakeUpdate()
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", Sequence: 2, Draining: true}))
 		h.RunnerLeft("i-1", 0)
 		h.reportRunner("i-2", 1)
 		u, _ := h.TakeUpdate()
