--- a/internal/follower/modelleader_test.go
+++ b/internal/follower/modelleader_test.go
@@ -85,13 +85,10 @@
 		active := wire.Activities(msg.Active)
 		switch {
 		case msg.Snapshot:
-			until := time.Duration(0)
-			if msg.UnlistedRunsMs > 0 {
-				until = now + time.Duration(msg.UnlistedRunsMs)*time.Millisecond
-			}
-			l.p.RunsUnlistedUntil(m.name, until)
-			l.p.EndsIncomplete(m.name, msg.MoreEnds)
-			l.p.AgentConnected(now, m.name, wire.Runner(msg.Runner), active)
+			l.p.AgentConnected(now, m.name, planner.Snapshot{
+				Runner: wire.Runner(msg.Runner), Active: active,
+				UnlistedFor: time.Duration(msg.UnlistedRunsMs) * time.Millisecond, MoreEnds: msg.MoreEnds,
+			})
 			m.connected = true
 		case msg.Runner != nil || msg.NoRunner:
 			l.p.RunnerChanged(now, m.name, wire.Runner(msg.Runner), active)
--- a/internal/leader/budget_test.go
+++ b/internal/leader/budget_test.go
@@ -32,9 +32,9 @@
 	instant := func() planner.Instant { return planner.Instant{Mono: now, Wall: time.Unix(0, 0).Add(now)} }
 	for i := range agents {
 		id := fmt.Sprintf("a%02d", i)
-		p.AgentConnected(now, id, &job.Runner{
+		p.AgentConnected(now, id, planner.Snapshot{Runner: &job.Runner{
 			ID: id, Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 1_000_000, MemoryMB: 1_000_000},
-		}, nil)
+		}})
 	}
 	add := func(n, tasks, priority int) {
 		p.AddJob(instant(), &job.Job{
--- a/internal/leader/fakeagent_test.go
+++ b/internal/leader/fakeagent_test.go
@@ -26,6 +26,8 @@
 	received []receivedMessage
 	// noRunner means that it has no runner, noSnapshot that it sends only heartbeats.
 	noRunner, noSnapshot bool
+	// unlisted is for how long its snapshot says that runs may be alive which it does not list.
+	unlisted time.Duration
 	// refuse means that it closes each connection at once, mute that it sends nothing.
 	refuse, mute bool
 	sessions     []wire.Session
@@ -55,7 +57,7 @@
 func (a *fakeAgent) firstMessage() *wirepb.AgentMessage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, Ends: a.ends, NoRunner: a.noRunner, LaterTerm: a.laterTerm, LaterLeader: "10.0.0.9:1"}
+	m := &wirepb.AgentMessage{Beat: int64(boottime.Now()), Snapshot: !a.noSnapshot, Active: a.active, Ends: a.ends, NoRunner: a.noRunner, LaterTerm: a.laterTerm, LaterLeader: "10.0.0.9:1", UnlistedRunsMs: a.unlisted.Milliseconds()}
 	if !a.noRunner {
 		m.Runner = wire.RunnerInfo(&job.Runner{
 			ID: "i-1", Service: "desk", Zone: "z1", Capacity: job.Resources{CPU: 64_000, MemoryMB: 64_000},
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -215,13 +215,9 @@
 	if len(m.Ends) >= pageOfEnds && !m.MoreEnds {
 		unlisted = max(unlisted, fullPageHold)
 	}
-	if unlisted > 0 {
-		r.planner.RunsUnlistedUntil(c.id, now+unlisted)
-	} else {
-		r.planner.RunsUnlistedUntil(c.id, 0)
-	}
-	r.planner.EndsIncomplete(c.id, m.MoreEnds)
-	r.planner.AgentConnected(now, c.id, runner, active)
+	r.planner.AgentConnected(now, c.id, planner.Snapshot{
+		Runner: runner, Active: active, UnlistedFor: unlisted, MoreEnds: m.MoreEnds,
+	})
 	c.sendDetails(active)
 	fields := log.Fields{"agent": c.id, "runs": len(m.Active), "ends": len(m.Ends), "unlisted_ms": m.UnlistedRunsMs, "more_ends": m.MoreEnds, "unknown_agents": r.planner.UnreportedAgents()}
 	if runner != nil {
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -262,7 +262,7 @@
 	must.Len(t, 1, contents.Jobs)
 	test.Eq(t, "", contents.Jobs[0].Payload)
 	p := planner.New(planner.Options{Term: 2})
-	p.AgentConnected(0, "a", &job.Runner{ID: "i", Capacity: job.Resources{CPU: 1000}}, nil)
+	p.AgentConnected(0, "a", planner.Snapshot{Runner: &job.Runner{ID: "i", Capacity: job.Resources{CPU: 1000}}})
 	p.AddJob(planner.Instant{}, contents.Jobs[0], contents.Progress[testID], true)
 	test.Len(t, 0, p.Plan(planner.Instant{}, true).Starts)
 	state, _ = p.Status(testID)
--- a/internal/planner/advice_bench_test.go
+++ b/internal/planner/advice_bench_test.go
@@ -21,7 +21,7 @@
 			now := Instant{Mono: time.Hour, Wall: time.Unix(1_000_000, 0)}
 			for n := range 900 {
 				id := fmt.Sprint("m", n)
-				p.AgentConnected(now.Mono, id, testRunner(id), nil)
+				p.AgentConnected(now.Mono, id, Snapshot{Runner: testRunner(id)})
 				if full {
 					p.agents[id].requested.CPU = 16_000
 				}
--- a/internal/planner/agents.go
+++ b/internal/planner/agents.go
@@ -65,8 +65,8 @@
 func (p *Planner) AddUnreportedAgent(id string, expiresAt time.Duration) {
 	if p.agents[id] == nil {
 		a := p.addAgent(id, unreported)
-		a.leaseExpiresAt, a.awaited = expiresAt, true
-		p.unreported++
+		a.leaseExpiresAt = expiresAt
+		p.await(a)
 	}
 }
 
@@ -77,20 +77,32 @@
 	return a
 }
 
-// AgentConnected applies the full state of an agent: its runner (nil if there is none)
-// and the runs that may be alive there. Ends that the agent reports with it must be
-// passed to RunEnded first.
-func (p *Planner) AgentConnected(now time.Duration, id string, r *job.Runner, active []job.Activity) {
+// Snapshot is the full state of an agent.
+type Snapshot struct {
+	// Runner is nil if there is none or it does not answer.
+	Runner *job.Runner
+	// Active has the runs that may be alive and that the agent knows.
+	Active []job.Activity
+	// UnlistedFor is for how long runs may be alive that Active lacks, since the agent's process is new and its
+	// runner may be as well; 0 if there are none.
+	UnlistedFor time.Duration
+	// MoreEnds is set if such runs may have ended only because the runner has not listed all ends yet. A later
+	// snapshot without it shows which runs are absent.
+	MoreEnds bool
+}
+
+// AgentConnected applies the full state of an agent. Ends that the agent reports with it must be passed to RunEnded
+// first. An agent that was not added before may have runs of an earlier planner as well, if it says so.
+func (p *Planner) AgentConnected(now time.Duration, id string, s Snapshot) {
 	a := p.agents[id]
 	if a == nil {
 		a = p.addAgent(id, live)
+		p.await(a)
 	}
 	a.state = live
-	if now >= a.unlistedUntil {
-		p.settle(a)
-	}
-	p.setRunner(a, r)
-	p.reconcileRuns(now, a, active, CauseNotInSnapshot, func(*run) bool { return true })
+	p.applyUnlisted(now, a, s)
+	p.setRunner(a, s.Runner)
+	p.reconcileRuns(now, a, s.Active, CauseNotInSnapshot, func(*run) bool { return true })
 }
 
 // reconcileRuns compares the planner's runs on an agent with the runs that the agent
--- a/internal/planner/aside_test.go
+++ b/internal/planner/aside_test.go
@@ -199,8 +199,7 @@
 	badStep.runsOnAgent = map[*agent]int{}
 	must.Len(t, 2, f.starts)
 	f.Quarantine(f.now, f.CurrentJob())
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	must.Len(t, 2, f.plan().Starts)
 	f.now += 5 * time.Second
 	test.Len(t, 0, f.plan().Starts)
--- a/internal/planner/incarnation_test.go
+++ b/internal/planner/incarnation_test.go
@@ -13,7 +13,7 @@
 	f := newFixture(t, 1)
 	r := testRunner("a")
 	r.StartTime = 77
-	f.AgentConnected(f.now, "a", r, nil)
+	f.AgentConnected(f.now, "a", Snapshot{Runner: r})
 	f.add(testJob(1, step(1)), nil, false)
 	starts := f.plan().Starts
 	must.Len(t, 1, starts)
--- a/internal/planner/model_test.go
+++ b/internal/planner/model_test.go
@@ -153,8 +153,9 @@
 	a.connected = true
 	a.renewedAt = m.now
 	a.lostUntil, a.lostAt = 0, 0
-	m.p.RunsUnlistedUntil(id, a.unlistedUntil(m.now))
-	m.p.AgentConnected(m.now, id, a.runner(id), append(a.detachedActive(), a.active()...))
+	m.p.AgentConnected(m.now, id, Snapshot{
+		Runner: a.runner(id), Active: append(a.detachedActive(), a.active()...), UnlistedFor: max(a.unlistedUntil(m.now)-m.now, 0),
+	})
 }
 
 func (m *model) disconnect(id string) {
--- a/internal/planner/orphan_test.go
+++ b/internal/planner/orphan_test.go
@@ -145,14 +145,12 @@
 	f.now += time.Second
 	next := testRunner("a")
 	next.ID = "another"
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.AgentConnected(f.now, "a", next, nil)
+	f.AgentConnected(f.now, "a", Snapshot{Runner: next, UnlistedFor: 5 * time.Second})
 	must.Len(t, 0, f.plan().Starts)
 	f.now += time.Second
 	f.RunnerChanged(f.now, "a", nil, nil)
 	f.AgentLost("a", f.now+6*time.Second)
-	f.RunsUnlistedUntil("a", 0)
-	f.AgentConnected(f.now, "a", next, nil)
+	f.AgentConnected(f.now, "a", Snapshot{Runner: next})
 	must.Len(t, 0, f.plan().Starts)
 	f.now += 4 * time.Second
 	must.Len(t, 2, f.plan().Starts)
@@ -164,8 +162,7 @@
 	f := newFixture(t, 2)
 	f.AddUnreportedAgent("a", f.now+13*time.Second)
 	f.add(testJob(1, step(2)), nil, true)
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	must.Eq(t, 1, f.UnreportedAgents())
 	must.Len(t, 0, f.plan().Starts)
 	f.add(testJob(2, step(1)), nil, false)
@@ -173,8 +170,7 @@
 	f.RunnerChanged(f.now, "a", nil, nil)
 	f.AgentLost("a", f.now+6*time.Second)
 	must.SliceEmpty(t, f.TakeDeadAgents())
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	f.now += 5 * time.Second
 	must.Len(t, 2, f.plan().Starts)
 	must.Zero(t, f.UnreportedAgents())
@@ -185,8 +181,7 @@
 func TestPlanner_MaxCapacityWhileRunsAreUnlisted(t *testing.T) {
 	f := newFixture(t, 3)
 	f.AddUnreportedAgent("a", f.now+13*time.Second)
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	must.Eq(t, 1, f.UnreportedAgents())
 	_, known := f.MaxCapacity(testService)
 	test.True(t, known)
@@ -204,8 +199,7 @@
 	f.ActivityReported(f.now, "a", active)
 	f.agent("b")
 	f.AgentLost("a", f.now+6*time.Second)
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	f.now += time.Second
 	f.ActivityReported(f.now, "a", active)
 	f.now += 6 * time.Second
@@ -217,8 +211,7 @@
 	f := newFixture(t, 2)
 	f.AddUnreportedAgent("a", f.now+13*time.Second)
 	f.add(testJob(1, step(1)), nil, true)
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	run := job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 7}
 	f.ActivityReported(f.now, "a", []job.Activity{{Run: run}})
 	f.now += 6 * time.Second
@@ -252,8 +245,7 @@
 	must.Len(t, 1, starts)
 	f.ActivityReported(f.now, "a", []job.Activity{{Run: starts[0].Run}})
 	f.AgentLost("a", f.now+6*time.Second)
-	f.RunsUnlistedUntil("a", f.now+5*time.Second)
-	f.agent("a")
+	f.agentWith("a", Snapshot{UnlistedFor: 5 * time.Second})
 	f.now += 4 * time.Second
 	test.Len(t, 0, f.plan().Stops)
 	test.Zero(t, f.Stats().Stalls)
--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -61,7 +61,7 @@
 	for i := range overloadRunners {
 		r := testRunner(fmt.Sprint(i))
 		r.Capacity = job.Resources{CPU: 64_000, MemoryMB: 250_000}
-		o.f.AgentConnected(o.f.now, fmt.Sprint(i), r, nil)
+		o.f.AgentConnected(o.f.now, fmt.Sprint(i), Snapshot{Runner: r})
 	}
 	return o
 }
--- a/internal/planner/planner_bench_test.go
+++ b/internal/planner/planner_bench_test.go
@@ -28,7 +28,7 @@
 		id := fmt.Sprintf("a%d", i)
 		r := testRunner(id)
 		r.Capacity = job.Resources{CPU: 64_000, MemoryMB: 256_000}
-		p.AgentConnected(now, id, r, nil)
+		p.AgentConnected(now, id, Snapshot{Runner: r})
 	}
 	type scheduledEnd struct {
 		at    time.Duration
@@ -89,7 +89,7 @@
 	for i := range runners {
 		r := testRunner(fmt.Sprintf("a%d", i))
 		r.Capacity = job.Resources{CPU: 64_000, MemoryMB: 256_000}
-		p.AgentConnected(now, fmt.Sprintf("a%d", i), r, nil)
+		p.AgentConnected(now, fmt.Sprintf("a%d", i), Snapshot{Runner: r})
 	}
 	add := func(from, to int, cpu int64, slack time.Duration) {
 		for n := from; n < to; n++ {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -46,7 +46,13 @@
 }
 
 func (f *fixture) agent(id string, active ...job.Activity) {
-	f.AgentConnected(f.now, id, testRunner(id), active)
+	f.agentWith(id, Snapshot{Active: active})
+}
+
+// agentWith connects an agent with a runner.
+func (f *fixture) agentWith(id string, s Snapshot) {
+	s.Runner = testRunner(id)
+	f.AgentConnected(f.now, id, s)
 }
 
 func testJob(n int, steps ...job.Step) *job.Job {
@@ -378,7 +384,7 @@
 	test.False(t, known, test.Sprint("b may be larger"))
 	large := testRunner("b")
 	large.Capacity.CPU = 96_000
-	f.AgentConnected(f.now, "b", large, nil)
+	f.AgentConnected(f.now, "b", Snapshot{Runner: large})
 	capacity, known := f.MaxCapacity(testService)
 	test.True(t, known)
 	test.Eq(t, job.Resources{CPU: 96_000, MemoryMB: 64_000}, capacity)
--- a/internal/planner/startbudget_test.go
+++ b/internal/planner/startbudget_test.go
@@ -38,7 +38,7 @@
 	for n := range runners {
 		r := testRunner(fmt.Sprint(n))
 		r.Capacity = job.Resources{CPU: 64_000, MemoryMB: 250_000}
-		f.AgentConnected(f.now, fmt.Sprint(n), r, nil)
+		f.AgentConnected(f.now, fmt.Sprint(n), Snapshot{Runner: r})
 	}
 	return f
 }
--- a/internal/planner/trials_test.go
+++ b/internal/planner/trials_test.go
@@ -35,7 +35,7 @@
 	f := newFixture(t, 1)
 	labelled := testRunner("a")
 	labelled.Labels = append(labelled.Labels, "special")
-	f.AgentConnected(f.now, "a", labelled, nil)
+	f.AgentConnected(f.now, "a", Snapshot{Runner: labelled})
 	for n := range 7 {
 		f.agent(fmt.Sprint("other", n))
 	}
@@ -232,7 +232,7 @@
 	for n := range runners {
 		r := testRunner(fmt.Sprint(n))
 		r.Capacity = job.Resources{CPU: 64_000, MemoryMB: 250_000}
-		f.AgentConnected(f.now, fmt.Sprint(n), r, nil)
+		f.AgentConnected(f.now, fmt.Sprint(n), Snapshot{Runner: r})
 		rules[fmt.Sprint(n)] = &previousRule{jobs: map[string]*trials{}}
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
--- a/internal/planner/unlisted.go
+++ b/internal/planner/unlisted.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// await begins the wait for the runs of earlier planners on an agent.
+func (p *Planner) await(a *agent) {
+	a.awaited = true
+	p.unreported++
+}
+
 // settle ends the wait for the runs of earlier planners on an agent that has reported or is dead.
 func (p *Planner) settle(a *agent) {
 	if a.awaited {
@@ -10,29 +16,20 @@
 	}
 }
 
-// RunsUnlistedUntil records that until a time runs may be alive on an agent that it does not list,
-// since its process is new and its runner may be as well; 0 if there are none. It is called before
-// AgentConnected.
-func (p *Planner) RunsUnlistedUntil(id string, until time.Duration) {
-	if a := p.agents[id]; a != nil {
-		a.unlistedUntil = until
-	}
-}
-
-// EndsIncomplete records whether runs that an agent does not list may have ended only because its runner has
-// not listed all ends yet. A later snapshot without that shows which runs are absent. It is called before
-// AgentConnected.
-func (p *Planner) EndsIncomplete(id string, incomplete bool) {
-	a := p.agents[id]
-	if a == nil {
-		return
+// applyUnlisted records what an agent's snapshot says about runs that it does not list.
+func (p *Planner) applyUnlisted(now time.Duration, a *agent, s Snapshot) {
+	a.unlistedUntil = 0
+	if s.UnlistedFor > 0 {
+		a.unlistedUntil = now + s.UnlistedFor
+	} else {
+		p.settle(a)
 	}
-	if a.endsIncomplete && !incomplete {
+	if a.endsIncomplete && !s.MoreEnds {
 		for _, r := range a.runs {
 			r.detachedUntil = 0
 		}
 	}
-	a.endsIncomplete = incomplete
+	a.endsIncomplete = s.MoreEnds
 }
 
 // UnreportedAgents returns the number of agents that have not reported all of their runs yet.
