supervisor: wait for the lease of a runner's next life that has not reported yet

What callers see: a task that must run once runs twice after its runner has restarted under its id, if the runner's report of that is late.

Cause: a call names the runner's id only, so a start can reach the next life. Its lease is a time on the previous life's clock, which the next one shortens to the longest lease. The agent knew of the restart by the start time in the answer to a renewal, but gave the run up at the end of the lease granted to the previous life, which may be shorter.

Change: when an answer has another start time for the first time, runs wait for the longest lease from then on, if no report of that life is adopted before. Calls give that life no further lease. A start that is delayed beyond that answer is not covered before the report.

Measured (virtual time, granted lease of 2 s, longest lease of 5 s): before, the run was given up within 5 s and its refusal reported while it was active on the next life; the new test failed. After, it is kept for the 5 s, and given up within the 6 s that follow.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -102,6 +102,7 @@
 	}
 	if report.StartTime != 0 && s.runner.StartTime != 0 && report.StartTime != s.runner.StartTime {
 		// The status report of the new incarnation has not arrived yet.
+		s.restartSeen(report.StartTime)
 		return s.renewFailed(runner.ErrOtherIncarnation)
 	}
 	s.acknowledgedEnd, s.answeredAt = max(s.acknowledgedEnd, request.AcknowledgedEnd), s.opts.Now()
@@ -274,9 +275,9 @@
 	}
 }
 
-// leaseOfEarlierCalls returns until when the leases last that calls for an earlier incarnation may have given to the
-// current one, which has just answered a call with a higher fencing token. It has refused all further ones since,
-// and shortened each lease to MaxLease.
+// leaseOfEarlierCalls returns until when the leases last that calls for an earlier incarnation may have given until now
+// to one that has just answered, and that shortened each lease to MaxLease. If it has answered a call with a higher
+// fencing token, it has refused all further ones since.
 func (s *Supervisor) leaseOfEarlierCalls() time.Duration {
 	return s.opts.Now() + scale(s.opts.MaxLease, 1+clockDrift) + leaseMargin
 }
--- a/internal/supervisor/identity_test.go
+++ b/internal/supervisor/identity_test.go
@@ -393,3 +393,22 @@
 		test.Positive(t, snapshot.UnlistedFor)
 	})
 }
+
+// Guards against giving up a run whose start reached the runner's next life under the same id, at the end of the lease of
+// the earlier life: the call's lease is a time on that one's clock, which the next life shortens to the longest lease only,
+// and its tasks ran twice.
+func TestSupervisor_LeaseOfLifeThatIsNotReportedYet(t *testing.T) {
+	const granted = 2 * time.Second
+	runTest(t, nil, func(h *harness) {
+		h.fake.setRunner("i-1", 100)
+		must.NoError(t, h.report(job.Runner{ID: "i-1", Service: "desk", StartTime: 100, Sequence: 1}))
+		time.Sleep(2 * testLease) // the leases of earlier processes have expired
+		h.GrantLease(h.opts.Now() + granted)
+		h.fake.setRunner("i-1", 200)
+		h.startRun(1)
+		u := h.collectUpdates(testLease)
+		test.SliceEmpty(t, u.Refusals)
+		u = h.collectUpdates(testLease + time.Second)
+		test.Len(t, 1, u.Refusals)
+	})
+}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -257,6 +257,15 @@
 	return until
 }
 
+// restartSeen records that the runner has answered with another start time than that of the current incarnation. Calls
+// for the current one may have given that one a lease, which it shortened to MaxLease; later calls give it none.
+func (s *Supervisor) restartSeen(startTime int64) {
+	if s.nextStartTime != startTime {
+		s.nextStartTime = startTime
+		s.runnerLeaseUntil = max(s.runnerLeaseUntil, s.leaseOfEarlierCalls())
+	}
+}
+
 // reconcileAfterRestart keeps the runs of the previous incarnation when the runner restarts
 // under the same id. A start that was sent before the restart was detected may have reached
 // the new incarnation. Its first list shows which runs are alive; the leader receives the
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -139,6 +139,8 @@
 	left, unreachable bool
 	// endedIncarnations holds the earlier incarnations of the runner.
 	endedIncarnations map[incarnation]bool
+	// nextStartTime is that of the last answer of an unreported incarnation.
+	nextStartTime int64
 	// ignoredReport is the incarnation of the last report that was ignored.
 	ignoredReport incarnation
 	contradiction contradiction
