--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -265,7 +265,7 @@
 		}
 	}
 	if s.restarted {
-		s.restarted = false
+		s.forgetRestart()
 		s.runnerLeaseUntil = s.leaseOfEarlierCalls()
 		s.reportFullState()
 	}
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -236,8 +236,8 @@
 	}
 }
 
-// forgetRestart removes the record of a restart of a runner that has been replaced or has left. Its runs are dropped or
-// detached, those of earlier processes of this agent may be alive on the next one.
+// forgetRestart removes the record of a restart of a runner that has listed its runs, has been replaced or has left. Its
+// runs are on record, dropped or detached, those of earlier processes of this agent may be alive on the next one.
 func (s *Supervisor) forgetRestart() {
 	if s.restarted {
 		s.restarted = false
--- a/internal/supervisor/series_test.go
+++ b/internal/supervisor/series_test.go
@@ -152,3 +152,25 @@
 		test.Greater(t, testLease-time.Second, h.refusedAfter(run, maxGrantedLease))
 	})
 }
+
+// Guards against the same where the restarted runner has listed its runs before it was replaced.
+func TestSupervisor_ListedRunnerIsReplacedBySilentOne(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.runOn("i-1")
+		h.restartRunner(200)
+		h.collectUpdates(100 * time.Millisecond)
+		h.mu.Lock()
+		must.False(h.t, h.restarted)
+		h.mu.Unlock()
+		h.fake.setRunner("i-2", 300)
+		h.fake.mu.Lock()
+		h.fake.renewErr, h.fake.answeredToken = errNoAnswer, 2
+		h.fake.mu.Unlock()
+		must.NoError(t, h.report(job.Runner{ID: "i-2", Service: "desk", StartTime: 300, Sequence: 1}))
+		h.TakeUpdate()
+		time.Sleep(testLease + 2*killTime)
+		snapshot, ok := h.Snapshot()
+		must.True(t, ok)
+		test.Eq(t, "i-2", snapshot.Runner.ID)
+	})
+}
