supervisor: an acknowledgement does not wait at the runner

Cause: an acknowledgement was part of the call that waits 300 ms for the next end. A call names a runner's incarnation by its id only. If the runner restarted under its id between its last answer and that call, the call waited in the next incarnation, which deleted its own first ends as they came. Its next list had neither the runs nor their ends.

A call that acknowledges ends no longer waits; the next one does. An acknowledgement that reaches the next incarnation can delete only ends that were listed before it came. That remains possible.

TestSupervisor_AcknowledgementWaitsInNextIncarnation failed 10 of 10 times before and passes 30 of 30. A batch of ends takes one more call to the runner on the same machine.

--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -77,7 +77,8 @@
 	}
 	reconciling := s.needsReconcile()
 	request := runner.RenewRequest{LeaseEnd: s.leaseOnRunnerClock(), AcknowledgedEnd: s.endToAcknowledge()}
-	waiting := len(s.ends) == 0 && !reconciling && s.runnerClockAt != 0
+	// An acknowledgement that waits in the next incarnation would delete its first ends as they come.
+	waiting := len(s.ends) == 0 && !reconciling && s.runnerClockAt != 0 && request.AcknowledgedEnd == 0
 	if waiting {
 		request.Wait = renewWait
 	}
