platform: calls to a runner's incarnation do not reach the next one under its id

Callers saw a task that must run once run again after its recorded end, or twice at once (rule TWICE): a runner had restarted under its id, and a call for its earlier incarnation took effect in the next one.

Cause: a call names an incarnation by its id only.

A start that was not sent before is then refused as late, which does not count against the runner; one that may have been sent, and a stop, wait for the next incarnation's first list as before, instead of the end of the lease.

The fake runner of the supervisor's tests refuses calls for another start time only where a test asks for it: the older tests still have calls that reach the next incarnation.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"bamboowood/internal/job"
@@ -14,6 +15,8 @@
 var (
 	// ErrOtherIncarnation: another incarnation of the runner answers at the address.
 	ErrOtherIncarnation = errors.New("another incarnation of the runner answers")
+	// ErrRestarted wraps ErrOtherIncarnation: the runner has restarted under its id. The call had no effect.
+	ErrRestarted = fmt.Errorf("%w under the same id", ErrOtherIncarnation)
 	// ErrUnhealthy: the runner refused the call, which had no effect.
 	ErrUnhealthy = errors.New("runner is unhealthy and did nothing")
 	// ErrNoListener: nothing listens at the runner's address.
@@ -46,11 +49,13 @@
 	RefusedIncarnationEnded Refusal = "gone"
 )
 
-// Fence identifies the runner that a call is meant for. The runner refuses calls with a lower
+// Fence identifies the incarnation of the runner that a call is meant for. The runner refuses calls with a lower
 // Token than it has received before.
 type Fence struct {
 	RunnerID string
-	Token    int64
+	// StartTime is the start time of the incarnation. If it is 0, the call may reach any incarnation with the id.
+	StartTime int64
+	Token     int64
 }
 
 // StartRequest is a request to start one run.
--- a/internal/supervisor/fake_test.go
+++ b/internal/supervisor/fake_test.go
@@ -24,8 +24,10 @@
 	mu sync.Mutex
 	// id and startTime name the incarnation that answers. Calls for another id are refused; an
 	// empty id answers all calls.
-	id              string
-	startTime       int64
+	id        string
+	startTime int64
+	// bound refuses calls for another incarnation with the same id.
+	bound           bool
 	active          []job.Activity
 	ends            []job.End
 	acknowledgedEnd int64
@@ -63,16 +65,22 @@
 
 func (f *fakeRunner) clock() time.Duration { return time.Since(f.startedAt) }
 
-// misdirected reports whether a call is meant for another runner. The caller holds mu.
-func (f *fakeRunner) misdirected(fence runner.Fence) bool {
-	return f.id != "" && f.id != fence.RunnerID
+// misdirected returns the error of a call that is meant for another incarnation. The caller holds mu.
+func (f *fakeRunner) misdirected(fence runner.Fence) error {
+	switch {
+	case f.id != "" && f.id != fence.RunnerID:
+		return runner.ErrOtherIncarnation
+	case f.bound && fence.StartTime != 0 && f.startTime != fence.StartTime:
+		return runner.ErrRestarted
+	}
+	return nil
 }
 
 func (f *fakeRunner) Start(_ context.Context, fence runner.Fence, o runner.StartRequest) (runner.Refusal, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.misdirected(fence) {
-		return runner.RefusedIncarnationEnded, 0, runner.ErrOtherIncarnation
+	if err := f.misdirected(fence); err != nil {
+		return runner.RefusedIncarnationEnded, 0, err
 	}
 	f.starts = append(f.starts, o.Run)
 	f.tokens = append(f.tokens, fence.Token)
@@ -88,8 +96,8 @@
 func (f *fakeRunner) Stop(_ context.Context, fence runner.Fence, run job.Run) (runner.Refusal, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.misdirected(fence) {
-		return runner.RefusedIncarnationEnded, runner.ErrOtherIncarnation
+	if err := f.misdirected(fence); err != nil {
+		return runner.RefusedIncarnationEnded, err
 	}
 	f.stops = append(f.stops, run)
 	f.endLocked(run, job.EndStopped)
@@ -134,9 +142,9 @@
 			defer f.mu.Unlock()
 			return runner.Report{}, f.renewErr
 		}
-		if f.misdirected(fence) {
+		if err := f.misdirected(fence); err != nil {
 			defer f.mu.Unlock()
-			return runner.Report{}, runner.ErrOtherIncarnation
+			return runner.Report{}, err
 		}
 		f.lease = max(f.lease, o.LeaseEnd)
 		for len(f.ends) > 0 && f.ends[0].Sequence <= o.AcknowledgedEnd {
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -103,7 +103,7 @@
 	}
 	if report.StartTime != 0 && s.runner.StartTime != 0 && report.StartTime != s.runner.StartTime {
 		// The status report of the new incarnation has not arrived yet.
-		return s.renewFailed(runner.ErrOtherIncarnation)
+		return s.renewFailed(runner.ErrRestarted)
 	}
 	s.acknowledgedEnd, s.answeredAt = max(s.acknowledgedEnd, request.AcknowledgedEnd), s.opts.Now()
 	s.applyReport(ctx, sentAt, report)
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -136,6 +136,11 @@
 		return true
 	}
 	switch {
+	case errors.Is(err, runner.ErrRestarted) && sent:
+		// An earlier attempt may have taken effect: the first list of the next incarnation shows that.
+		return false
+	case errors.Is(err, runner.ErrRestarted):
+		s.dropRun(run, runner.RefusedLate, causeOtherIncarnation)
 	case errors.Is(err, runner.ErrOtherIncarnation) && sent:
 		s.detach(r)
 	case errors.Is(err, runner.ErrOtherIncarnation):
@@ -241,7 +246,7 @@
 	case s.runs[run] != r:
 		return true
 	case r.detachedUntil != 0:
-	case errors.Is(err, runner.ErrOtherIncarnation):
+	case errors.Is(err, runner.ErrOtherIncarnation) && !errors.Is(err, runner.ErrRestarted):
 		s.detach(r)
 	case err == nil && refusal == runner.RefusedFence:
 		s.raiseToken()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -355,7 +355,7 @@
 	if s.runner == nil {
 		return runner.Fence{}, false
 	}
-	return runner.Fence{RunnerID: s.runner.ID, Token: s.token}, true
+	return runner.Fence{RunnerID: s.runner.ID, StartTime: s.runner.StartTime, Token: s.token}, true
 }
 
 // tokenStep is added to a fencing token to exceed that of an earlier process whose clock
