--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -77,7 +77,8 @@
 	}
 	reconciling := s.needsReconcile()
 	request := runner.RenewRequest{LeaseEnd: s.leaseOnRunnerClock(), AcknowledgedEnd: s.endToAcknowledge()}
-	waiting := len(s.ends) == 0 && !reconciling && s.runnerClockAt != 0
+	// An acknowledgement that waits in the next incarnation would delete its first ends as they come.
+	waiting := len(s.ends) == 0 && !reconciling && s.runnerClockAt != 0 && request.AcknowledgedEnd == 0
 	if waiting {
 		request.Wait = renewWait
 	}
@@ -103,7 +104,7 @@
 	if report.StartTime != 0 && s.runner.StartTime != 0 && report.StartTime != s.runner.StartTime {
 		// The status report of the new incarnation has not arrived yet.
 		s.restartSeen(report.StartTime)
-		return s.renewFailed(runner.ErrOtherIncarnation)
+		return s.renewFailed(runner.ErrRestarted)
 	}
 	s.acknowledgedEnd, s.answeredAt = max(s.acknowledgedEnd, request.AcknowledgedEnd), s.opts.Now()
 	s.applyReport(ctx, sentAt, report)
