--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -36,6 +36,9 @@
 	if cl.options.has(evacuation) {
 		schedule = append(schedule, cl.evacuationFaults(window)...)
 	}
+	if cl.options.has(power) {
+		schedule = append(schedule, cl.powerFaults(window)...)
+	}
 	return append(schedule, cl.turnedAway(window)...)
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -101,6 +101,12 @@
 	runSeeds(t, []int64{622, 631, 634}, options{storeClock})
 }
 
+// Guards against runs that are given up while they go on, when VMs lose power, zones are cut in one direction and
+// writes to the store are late.
+func TestSoak_Power(t *testing.T) {
+	runSeeds(t, []int64{901, 902}, options{power})
+}
+
 // runSeeds runs the regression seeds and those that the flags name.
 func runSeeds(t *testing.T, regressions []int64, o options) {
 	reserveAddressBlock(t)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -183,6 +183,7 @@
 	crowd         = "crowd"       // unknown clients send unfinished bodies to entries
 	oldRunner     = "old-runner"  // runners have started long before the run
 	storeClock    = "store-clock" // the store's clock begins anew, stands still or is slow, and agents are killed
+	power         = "power"       // VMs lose power, zones are cut in one direction, writes to the store are late
 	evacuation    = "evacuation"  // a zone is drained and refilled, and the store refuses reads of single tables
 )
 
