test/soak: an address that another deployment's fork keeps open is tried again

A process that another deployment has forked keeps all listeners open until it executes its program.

A listen at an address in use is repeated for up to 2 s.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -178,8 +179,16 @@
 			maxLease.Milliseconds(), gracePeriod.Seconds())
 }
 
+// listenTimeout is how long an address may be in use by a closed listener: a process that another deployment has
+// forked keeps it open until it executes its program.
+const listenTimeout = 2 * time.Second
+
 func (cl *cluster) serve(address string, handler http.Handler) string {
 	ln, err := net.Listen("tcp", address)
+	for begin := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(begin) < listenTimeout; {
+		<-time.After(10 * time.Millisecond)
+		ln, err = net.Listen("tcp", address)
+	}
 	must.NoError(cl.t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(ln) }()
