leader, ledger: register an agent again whose registration another writer has deleted

What callers see: after a change of leaders, tasks that run on an agent are started a second time elsewhere (TWICE), if the agent's row has been deleted by another writer than the leader.

Cause: the leader ignored deleted rows in the feed of registrations and counted the agent as registered. An agent in session does not register itself again, so that the next leader did not know it and did not wait for its report.

Change: FollowAgents returns deletions. The agent then counts as not registered, so that nothing is granted to it or started there, until the leader has registered it again; a lost agent is registered while its lease lasts. The leader's own removals of dead agents change nothing.

Not covered: a change of leaders before the deletion is learned of, and a deletion that the feed skips since it has to read the whole table.

--- a/internal/leader/agents.go
+++ b/internal/leader/agents.go
@@ -31,7 +31,8 @@
 	var dead []ledger.Registration
 	var returned []*agentConn
 	for id, conn := range r.conns {
-		if !conn.registered && (len(conn.buffered) > 0 || conn.inSession && !r.planner.AgentDead(id)) {
+		_, lost := r.planner.LeaseExpiry(id)
+		if !conn.registered && (len(conn.buffered) > 0 || conn.inSession && !r.planner.AgentDead(id) || conn.deleted && lost) {
 			returned = append(returned, conn)
 		}
 	}
@@ -73,7 +74,7 @@
 	names := make([]string, len(agents))
 	for i, a := range agents {
 		names[i] = a.Name
-		r.conns[a.Name].removedVersion = a.Version
+		r.conns[a.Name].removedVersion = max(r.conns[a.Name].removedVersion, a.Version)
 	}
 	r.opts.Logger.WithField("agents", strings.Join(names, ",")).Info("agents removed")
 	return nil
@@ -107,7 +108,7 @@
 	if a.Version <= c.version {
 		return
 	}
-	c.version, c.registered = a.Version, a.Lost == ledger.Lost{}
+	c.version, c.registered, c.deleted = a.Version, a.Lost == ledger.Lost{}, false
 	if !c.registered {
 		c.recordedVersion = a.Version
 		return
@@ -116,3 +117,14 @@
 		c.applyBuffered(now)
 	}
 }
+
+// setDeleted records that the registration was deleted. If that was another writer, runs may be alive on the agent, and
+// it is registered again. It is called with the lock held.
+func (c *agentConn) setDeleted(a ledger.Agent) {
+	if a.Version <= c.version {
+		return
+	}
+	c.version, c.removedVersion, c.recordedVersion = a.Version, a.Version, a.Version
+	c.registered, c.deleted = false, true
+	signal(c.leadership.wakeCommit)
+}
--- a/internal/leader/agents_test.go
+++ b/internal/leader/agents_test.go
@@ -236,3 +236,35 @@
 	time.Sleep(2 * time.Second)
 	test.Zero(t, b.countStarts())
 }
+
+// Guards against a registration that another writer deletes while the agent runs tasks: the next leader does not know the
+// agent and starts them elsewhere (TWICE).
+func TestLeader_RegistrationDeletedByAnotherWriter(t *testing.T) {
+	for name, lost := range map[string]bool{"in session": false, "lost": true} {
+		t.Run(name, func(t *testing.T) {
+			hooked, _ := newHookedStore(t)
+			jobLedger := newLedger(hooked)
+			a, b := newFakeAgent(t, job.Run{Task: job.Task{Job: testJob(1).ID}, Number: 1}), newFakeAgent(t)
+			b.noRunner = true
+			must.NoError(t, jobLedger.RegisterAgent(t.Context(), "a", a.address))
+			must.NoError(t, jobLedger.RegisterAgent(t.Context(), "b", b.address))
+			must.NoError(t, jobLedger.Accept(t.Context(), testJob(1)))
+			l, stop := runLeader(t, jobLedger)
+			awaitLeading(t, l)
+			a.await(t, hasGrant)
+			if lost {
+				a.set(func() { a.refuse = true })
+				a.closeSessions()
+			}
+			_, err := hooked.Store.Apply(t.Context(), store.Tx{Remove: []store.Key{{Table: "agents", Part: "main", Key: "a"}}})
+			must.NoError(t, err)
+			time.Sleep(time.Second)
+			test.True(t, registered(t, jobLedger, "a"))
+			stop()
+			b.set(func() { b.noRunner = false })
+			runLeaderWith(t, jobLedger, func(o *Options) { o.Address, o.Process = "10.0.0.2:1", "p2" })
+			time.Sleep(2 * time.Second)
+			test.Zero(t, b.countStarts())
+		})
+	}
+}
--- a/internal/leader/link.go
+++ b/internal/leader/link.go
@@ -68,6 +68,8 @@
 	// the registration may have been removed or say so.
 	version, removedVersion, recordedVersion int64
 	registered                               bool
+	// deleted is set if the registration was deleted, by this leader or another writer.
+	deleted bool
 	// inSession is set while a session has messages of the agent; lostSince is when the last one ended.
 	inSession bool
 	lostSince time.Duration
@@ -92,6 +94,12 @@
 // addConn opens a connection to an agent or updates it with a new registration. It is called
 // with the leadership's lock held.
 func (r *leadership) addConn(id string, a ledger.Agent) {
+	if a.Deleted {
+		if conn := r.conns[id]; conn != nil {
+			conn.setDeleted(a)
+		}
+		return
+	}
 	if a.Address == "" {
 		unusableAddresses.Inc()
 		r.opts.Logger.WithField("agent", id).Warn("registration has no usable address")
--- a/internal/ledger/agents.go
+++ b/internal/ledger/agents.go
@@ -32,6 +32,8 @@
 	Address string
 	// Version changes with each registration and each record.
 	Version int64
+	// Deleted is set if the registration has been deleted.
+	Deleted bool
 	// Lost is the record of a lost agent. Nothing may be started on the agent or granted to it before it is
 	// registered again without one.
 	Lost Lost
@@ -47,8 +49,8 @@
 	return registrations(rows), version, nil
 }
 
-// FollowAgents returns the agents that registered after a version, and the version to
-// continue from. It waits up to the given time for a registration.
+// FollowAgents returns the agents that registered, or whose registrations were deleted, after a version, and the
+// version to continue from. It waits up to the given time for a registration.
 func (l *Ledger) FollowAgents(
 	ctx context.Context, after int64, wait time.Duration,
 ) (map[string]Agent, int64, error) {
@@ -59,7 +61,11 @@
 func registrations(rows []store.Row) map[string]Agent {
 	found := map[string]Agent{}
 	for _, row := range rows {
-		if !row.Deleted && row.Part == mainPart {
+		switch {
+		case row.Part != mainPart:
+		case row.Deleted:
+			found[row.Key] = Agent{Version: row.Version, Deleted: true}
+		default:
 			address, lost := decodeRegistration(row.Value)
 			found[row.Key] = Agent{Address: address, Version: row.Version, Lost: lost}
 		}
