test/soak: leaders are killed while a zone of agents is out of touch

Its cuts took half of the entries and mostly the leader with them, whose renewals still arrived, so that no other one took over; and faults began before tasks ran.

One of three zones is cut, counted from that of the leader; the leader is killed meanwhile unless it is in the zone; faults begin after 2 s.

--- a/test/soak/power_test.go
+++ b/test/soak/power_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,19 +15,37 @@
 // lateShare is the share of the writes that are late while writes are.
 const lateShare = 0.3
 
-// powerFaults returns the faults of the option power. They have random numbers of their own.
+// powerFaults returns the faults of the option power, which begin while tasks run. They have random numbers of their own.
 func (cl *cluster) powerFaults(window time.Duration) (schedule []fault) {
 	r := rand.New(rand.NewPCG(uint64(cl.seed), 11))
-	for _, random := range []func(*rand.Rand) fault{
-		cl.powerLoss, cl.powerLoss, cl.powerLoss, cl.zoneCut, cl.zoneCut, cl.lateWrites,
-	} {
-		f := random(r)
-		f.at = randomDuration(r, 0, window)
+	add := func(f fault) time.Duration {
+		f.at = randomDuration(r, window/5, window)
 		schedule = append(schedule, f)
+		return f.at
+	}
+	for range 3 {
+		add(cl.powerLoss(r))
+	}
+	add(cl.lateWrites(r))
+	for range 2 {
+		d, down, zone := randomDuration(r, time.Second, 7*time.Second), randomDuration(r, 100*time.Millisecond, time.Second), r.IntN(zones)
+		at, killAfter := add(cl.zoneCut(zone, d)), randomDuration(r, 0, d)
+		if zone != 0 {
+			schedule = append(schedule, fault{
+				at: at + killAfter, description: fmt.Sprintf("kill the leader for %s", down),
+				run: func() { cl.entries[cl.leader()].killFor(down) }, disturbs: cl.entries, how: replaced,
+			})
+		}
 	}
 	return schedule
 }
 
+// leader returns the number of the entry that leads by the store, or 0.
+func (cl *cluster) leader() int {
+	term := cl.store.Value("term", "main", "leader")
+	return max(slices.IndexFunc(cl.entries, func(p *process) bool { return bytes.Contains(term, []byte(p.peerProxy.Address())) }), 0)
+}
+
 // powerLoss returns a fault in which a VM loses power: its agent and its runner end at the same moment and start
 // later, the runner under another id. The agent's connections end at once, or go silent until it starts.
 func (cl *cluster) powerLoss(r *rand.Rand) fault {
@@ -69,17 +89,21 @@
 	p.start()
 }
 
-// zoneCut returns a fault in which nothing reaches the agents and entries of a zone: every other VM and entry. What
-// they send still arrives.
-func (cl *cluster) zoneCut(r *rand.Rand) fault {
-	zone, d := r.IntN(2), randomDuration(r, time.Second, 7*time.Second)
-	var cut []*process
-	for _, of := range [][]*process{cl.entries, cl.agents} {
-		for i := zone; i < len(of); i += 2 {
-			cut = append(cut, of[i])
+// zones is the number of zones that are cut one at a time.
+const zones = 3
+
+// zoneCut returns a fault in which nothing reaches the agents and entries of a zone, counted from that of the leader.
+// What they send still arrives.
+func (cl *cluster) zoneCut(zone int, d time.Duration) fault {
+	agents := cl.agents
+	return fault{description: fmt.Sprintf("nothing reaches zone %d for %s", zone, d), disturbs: cl.all(), how: disrupted, run: func() {
+		var cut []*process
+		first := (cl.leader() + zone) % zones
+		for _, of := range [][]*process{cl.entries, agents} {
+			for i := first; i < len(of); i += zones {
+				cut = append(cut, of[i])
+			}
 		}
-	}
-	return fault{description: fmt.Sprintf("nothing reaches zone %d for %s", zone, d), disturbs: cut, how: disrupted, run: func() {
 		for _, p := range cut {
 			p.proxies[0].Block(platformtest.ToClient)
 			p.peerProxy.Block(platformtest.ToServer)
