--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -183,7 +183,10 @@
 	crowd         = "crowd"       // unknown clients send unfinished bodies to entries
 	oldRunner     = "old-runner"  // runners have started long before the run
 	storeClock    = "store-clock" // the store's clock begins anew, stands still or is slow, and agents are killed
-	evacuation    = "evacuation"  // a zone is drained and refilled, and the store refuses reads of single tables
+	// storeClockAhead: the store's clock shows a later time, and all entries are killed, while an agent is down.
+	storeClockAhead = "store-clock-ahead"
+
+	evacuation = "evacuation" // a zone is drained and refilled, and the store refuses reads of single tables
 )
 
 func (o options) has(name string) bool { return slices.Contains(o, name) }
@@ -220,6 +223,7 @@
 		{oddReport, 5, cl.oddReport},
 		{storeClock, 3, cl.storeClockFault},
 		{oddRow, 3, func(r *rand.Rand, _ *vm) (string, func()) { return cl.oddRow(r) }},
+		{storeClockAhead, 3, cl.storeClockAheadFault},
 	} {
 		if !cl.options.has(option.name) {
 			continue
