supervisor: nothing is started on a restarted runner that may be leased beyond the grant

Cause: a renewal or start for the previous incarnation that reaches the next one, within milliseconds of its birth, gives it a lease until the runner's own limit, as its deadline is a time on the older clock. The agent took 6 s, its own limit, for the runner's; the leader counts 6.3 s from its last grant. With 10 s, runs that were started on the next incarnation outlived that by up to 3.7 s once the agent was out of touch.

The supervisor knows the runner's own limit (RunnerMaxLease). Nothing changes for runners with new ids.

TestSupervisor_RestartedRunnerIsLeasedBeyondGrant failed before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -325,7 +325,7 @@
 		Runner: platform.NewRunner(n.node.RunnerAddress), Logger: n.logger, Now: boottime.Now,
 		// Go's monotonic clock does not count the time in which the machine is suspended.
 		SteadyNow: func() time.Duration { return time.Since(started) },
-		MaxLease:  n.leaseDuration(), FirstToken: time.Now().UnixMilli(),
+		MaxLease:  n.leaseDuration(), RunnerMaxLease: n.node.Bounds.MaxLease, FirstToken: time.Now().UnixMilli(),
 	})
 	limits := ingress.NewLimits(n.node.MemoryBytes, n.node.MaxDescriptors)
 	a := newActors(n.logger, n.gracePeriod())
--- a/internal/supervisor/hold.go
+++ b/internal/supervisor/hold.go
@@ -241,7 +241,7 @@
 		s.opts.Logger.WithField("runner", s.runner.ID).Info("lease renewal succeeds again")
 	}
 	s.failures, s.noListenerSince = 0, 0
-	defer s.setUnreachable(false)
+	defer func() { s.setUnreachable(s.leasedBeyondGrant()) }()
 	if !s.runsListed {
 		defer s.signal(s.notify)
 		s.runsListed = true
@@ -268,6 +268,9 @@
 	if s.restarted {
 		s.forgetRestart()
 		s.runnerLeaseUntil = s.leaseOfEarlierCalls()
+		if s.opts.RunnerMaxLease > s.opts.MaxLease {
+			s.ungrantedLeaseUntil = s.runnerLeaseUntil
+		}
 		s.reportFullState()
 	}
 	if now := s.opts.Now(); now-s.latenciesAppliedAt >= reportInterval {
@@ -277,12 +280,16 @@
 }
 
 // leaseOfEarlierCalls returns until when the leases last that calls for an earlier incarnation may have given until now
-// to one that has just answered, and that shortened each lease to MaxLease. If it has answered a call with a higher
+// to one that has just answered, and that shortened each lease to RunnerMaxLease. If it has answered a call with a higher
 // fencing token, it has refused all further ones since.
 func (s *Supervisor) leaseOfEarlierCalls() time.Duration {
-	return s.opts.Now() + scale(s.opts.MaxLease, 1+clockDrift) + leaseMargin
+	return s.opts.Now() + scale(s.opts.RunnerMaxLease, 1+clockDrift) + leaseMargin
 }
 
+// leasedBeyondGrant reports whether the runner may have a lease that lasts longer than the leader counts with. Runs
+// that are started now would outlive it.
+func (s *Supervisor) leasedBeyondGrant() bool { return s.ungrantedLeaseUntil > s.grantedUntil }
+
 func (s *Supervisor) applyEnds(ends []job.End) {
 	for _, e := range ends {
 		if e.Sequence <= s.receivedEnd {
--- a/internal/supervisor/incarnation.go
+++ b/internal/supervisor/incarnation.go
@@ -212,6 +212,7 @@
 	s.ends, s.receivedEnd, s.storedEnd, s.pages.complete = nil, 0, 0, false
 	s.acknowledgedEnd, s.answeredAt = 0, 0
 	s.runnerClock, s.runnerClockAt, s.failures = 0, 0, 0
+	s.ungrantedLeaseUntil = 0
 	if restarted {
 		s.reconcileAfterRestart()
 	}
@@ -273,7 +274,9 @@
 func (s *Supervisor) reconcileAfterRestart() {
 	now := s.opts.Now()
 	s.restarted, s.runsListed = true, false
-	s.runsKnownAt = now + restartGraceFactor*s.opts.MaxLease
+	// The lease end of a start for the previous incarnation, which may reach the new one, is a time on the previous
+	// one's clock. The runner shortens the lease to its own limit.
+	s.runsKnownAt = now + s.opts.MaxLease + s.opts.RunnerMaxLease
 	s.runnerLeaseUntil = s.runsKnownAt
 	for _, r := range s.runs {
 		if r.detachedUntil != 0 {
--- a/internal/supervisor/orders.go
+++ b/internal/supervisor/orders.go
@@ -84,7 +84,7 @@
 			s.mu.Unlock()
 			break
 		}
-		if now := s.opts.Now(); lease == 0 || o.expired(now) {
+		if now := s.opts.Now(); lease == 0 || o.expired(now) || s.leasedBeyondGrant() {
 			if !sent {
 				s.opts.Logger.WithFields(log.Fields{
 					"task": o.Details.Run.Task.String(), "run": o.Details.Run.Number, "leased": lease != 0,
--- a/internal/supervisor/series_test.go
+++ b/internal/supervisor/series_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,3 +175,30 @@
 		test.Eq(t, "i-2", snapshot.Runner.ID)
 	})
 }
+
+// Guards against runs that outlive what the leader counts with, so that it starts their tasks again while they go on: a
+// renewal for the previous incarnation gives a restarted runner a lease up to the runner's own limit, beyond the grant.
+func TestSupervisor_RestartedRunnerIsLeasedBeyondGrant(t *testing.T) {
+	runTest(t, nil, func(h *harness) {
+		h.mu.Lock()
+		h.opts.RunnerMaxLease = 2 * testLease
+		h.mu.Unlock()
+		h.runOn("i-1")
+		leased := time.Now().Add(2 * testLease)
+		h.restartRunner(200)
+		for n := int64(2); time.Now().Before(leased); n++ {
+			h.grantLease()
+			granted := time.Now().Add(testLease)
+			run := h.startRun(n)
+			h.collectUpdates(heartbeat)
+			h.fake.mu.Lock()
+			started := slices.Contains(h.fake.starts, run)
+			h.fake.mu.Unlock()
+			if started {
+				test.False(t, granted.Before(leased), test.Sprintf("run %d may last %s longer than granted", n, leased.Sub(granted)))
+				return
+			}
+		}
+		t.Fatal("nothing has been started")
+	})
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -26,8 +26,9 @@
 	// SteadyNow is a monotonic clock that stands still while the machine is suspended, as the
 	// runner's clock may.
 	SteadyNow func() time.Duration
-	// MaxLease is the longest lease that the runner grants.
-	MaxLease time.Duration
+	// MaxLease is the longest lease that this process gives to the runner; RunnerMaxLease is the one to which the
+	// runner shortens longer ones, 0 if that is MaxLease.
+	MaxLease, RunnerMaxLease time.Duration
 	// FirstToken is the initial fencing token. It must be higher than the tokens of
 	// earlier processes on this machine.
 	FirstToken int64
@@ -165,6 +166,9 @@
 	// runnerLeaseUntil is an upper bound, on Now's clock, of the end of the leases that this process or an
 	// earlier one on this machine has given to the runner.
 	runnerLeaseUntil time.Duration
+	// ungrantedLeaseUntil is an upper bound of the end of the lease that calls for an earlier incarnation may have
+	// given to a restarted runner; 0 if it is that of a lease of MaxLease.
+	ungrantedLeaseUntil time.Duration
 	// runnerClock is the reading of the runner's clock at runnerClockAt, which is
 	// runnerClockSteadyAt on SteadyNow's clock.
 	runnerClock         time.Duration
@@ -214,12 +218,6 @@
 	endThrottling context.CancelFunc
 }
 
-// restartGraceFactor times MaxLease is the time after a restart of the runner by which the
-// leases of all earlier starts have expired. A start sent to the previous incarnation may
-// reach the new one and obtain a lease there: its lease end is a time on the previous
-// incarnation's clock, and the runner shortens the lease to its own limit, MaxLease.
-const restartGraceFactor = 2
-
 // bootRegistrationWait is how long a snapshot waits for the registration of the boot; the ledger
 // answers within milliseconds unless it is away.
 const bootRegistrationWait = time.Second
@@ -230,6 +228,7 @@
 // New returns a Supervisor. It calls the runner only while Run runs.
 func New(opts Options) *Supervisor {
 	now := opts.Now()
+	opts.RunnerMaxLease = max(opts.RunnerMaxLease, opts.MaxLease)
 	earlierLeaseUntil := now + opts.MaxLease + leaseMargin
 	throttling, endThrottling := context.WithCancel(context.Background())
 	return &Supervisor{
@@ -338,9 +337,12 @@
 	entry := s.opts.Logger.WithFields(log.Fields{
 		"runner": s.runner.ID, "born": s.runner.StartTime, "runs": len(s.runs), "lease_left_ms": s.leaseLeft().Milliseconds(),
 	})
-	if unreachable {
+	switch {
+	case s.leasedBeyondGrant():
+		entry.Warn("runner is not used while it may have a lease beyond the leader's grant")
+	case unreachable:
 		entry.Warn("runner does not answer; its runs are kept until their lease ends")
-	} else {
+	default:
 		entry.Info("runner answers again")
 	}
 	s.reportFullState()
