--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -151,7 +151,7 @@
 	cl.checkDeadlines(settings)
 	probes, judged := settings.check()
 	t.Logf("%d jobs, %d runner events, %d copies, converged %s after the last fault; %d probes of %d configurations, %d of entries in touch",
-		len(cl.jobs.all()), len(cl.history.events), cl.copies, time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
+		len(cl.jobs.all()), len(cl.history.all()), cl.copies, time.Since(faultsEnded).Round(time.Millisecond), probes, len(settings.versions), judged)
 	for _, p := range cl.all() {
 		if lines := p.logs.malformedLines(); lines != "" {
 			cl.history.failf("%s wrote log lines that are not JSON:\n%s", p.name, lines)
