test/soak: runners that grant longer leases than agents give

The soak's runners granted 6 s, little more than agents give, so that it could not show a lease beyond the grant.

--- a/test/soak/power_test.go
+++ b/test/soak/power_test.go
@@ -29,6 +29,9 @@
 	add(cl.lateWrites(r))
 	for range 2 {
 		d, down, zone := randomDuration(r, time.Second, 7*time.Second), randomDuration(r, 100*time.Millisecond, time.Second), r.IntN(zones)
+		if cl.options.has(longLease) {
+			d = longCut
+		}
 		at, killAfter := add(cl.zoneCut(zone, d)), randomDuration(r, 0, d)
 		if zone != 0 {
 			schedule = append(schedule, fault{
@@ -89,13 +92,18 @@
 	p.start()
 }
 
-// zones is the number of zones that are cut one at a time.
-const zones = 3
+const (
+	// zones is the number of zones that are cut one at a time.
+	zones = 3
+	// With the option longLease, cuts last longCut, and the runners in the zone restart crashBeforeCut earlier.
+	longCut        = 9 * time.Second
+	crashBeforeCut = 1200 * time.Millisecond
+)
 
 // zoneCut returns a fault in which nothing reaches the agents and entries of a zone, counted from that of the leader.
 // What they send still arrives.
 func (cl *cluster) zoneCut(zone int, d time.Duration) fault {
-	agents := cl.agents
+	agents, vms := cl.agents, cl.vms
 	return fault{description: fmt.Sprintf("nothing reaches zone %d for %s", zone, d), disturbs: cl.all(), how: disrupted, run: func() {
 		var cut []*process
 		first := (cl.leader() + zone) % zones
@@ -104,6 +112,14 @@
 				cut = append(cut, of[i])
 			}
 		}
+		if cl.options.has(longLease) {
+			for _, v := range vms {
+				if slices.Contains(cut, v.agent) {
+					v.current().Reset()
+				}
+			}
+			<-time.After(crashBeforeCut)
+		}
 		for _, p := range cut {
 			p.proxies[0].Block(platformtest.ToClient)
 			p.peerProxy.Block(platformtest.ToServer)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -64,7 +64,7 @@
 	cl := v.cluster
 	r := &platformtest.Runner{
 		ID: "i-" + v.ip, Service: service, Zone: v.zone, Labels: []string{"a", "r1"}, CPU: runnerCPU, MemoryMB: runnerMemory,
-		MaxLease: maxLease, Duration: cl.jobs.runResult, Observe: cl.history.add,
+		MaxLease: cl.maxLease(), Duration: cl.jobs.runResult, Observe: cl.history.add,
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -184,6 +184,7 @@
 	oldRunner     = "old-runner"  // runners have started long before the run
 	storeClock    = "store-clock" // the store's clock begins anew, stands still or is slow, and agents are killed
 	power         = "power"       // VMs lose power, zones are cut in one direction, writes to the store are late
+	longLease     = "long-lease"  // runners grant longer leases than agents give, and restart before cuts of power
 	evacuation    = "evacuation"  // a zone is drained and refilled, and the store refuses reads of single tables
 
 	// storeClockAhead: the store's clock shows a later time, and all entries are killed, while an agent is down.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -171,12 +171,20 @@
 	return p
 }
 
+// maxLease returns the longest lease that runners grant.
+func (cl *cluster) maxLease() time.Duration {
+	if cl.options.has(longLease) {
+		return 10 * time.Second
+	}
+	return maxLease
+}
+
 func (cl *cluster) settingsTables(ip, store string) string {
 	return fmt.Sprintf("[listen]\nfront = %q\nready = %q\ncontrol = %q\n", net.JoinHostPort(ip, callersPort),
 		net.JoinHostPort(ip, readyPort), net.JoinHostPort(ip, controlPort)) +
 		fmt.Sprintf("[limits]\nmemoryMb = 512\nlinkMbps = 1000.0\n[platform]\naddress = %q\n", store) +
 		fmt.Sprintf("[bounds]\nholdMaxMs = %d\ngraceS = %g\nstatus_s = 600\nearly_ms = 250\nremoteFactor = 1.5\n",
-			maxLease.Milliseconds(), gracePeriod.Seconds())
+			cl.maxLease().Milliseconds(), gracePeriod.Seconds())
 }
 
 // listenTimeout is how long an address may be in use by a closed listener: a process that another deployment has
